--- /dev/null
+++ b/crates/barleydrum/src/effects.rs
@@ -0,0 +1,25 @@
+//! What a broker does.
+
+use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
+use crate::time::Tenths;
+
+/// One thing to do, in the order given.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Send a part to a node; pushes of one turn to one node share a call.
+    Push { part: PartId, node: NodeId, time_out: Tenths },
+    /// Call off a push.
+    Withdraw { part: PartId, push: PushNo },
+    /// Answer from the parts that are in.
+    Answer { retrieval: RetrievalId, whole: bool },
+    /// Turn the retrieval away: asking again is harmless, after `stay_away`.
+    Decline { retrieval: RetrievalId, stay_away: Tenths },
+    /// End the retrieval without an answer.
+    Scrap { retrieval: RetrievalId },
+    /// Be woken after this time.
+    Wake { after: Tenths },
+    /// Ask to be sent the roll's changes from now on.
+    FollowRoll,
+    /// A line for the people on call.
+    Say(String),
+}
--- /dev/null
+++ b/crates/barleydrum/src/ids.rs
@@ -0,0 +1,34 @@
+//! The ids a broker handles. Each kind is a type of its own; nothing can be read from a value.
+
+macro_rules! ids {
+    ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+ids! {
+    /// One retrieval, as its caller asked for it.
+    RetrievalId(u64);
+    /// One part of a retrieval.
+    PartId(u64);
+    /// What ties the parts to their retrieval when they are handed over.
+    GroupNo(u32);
+    /// A push of a part: 0 for the first, counted up in sending order.
+    PushNo(u16);
+    /// A call that carries one or more pushes to one node.
+    CallNo(u64);
+    /// A node: its address and port.
+    NodeId(u64);
+    /// A shard of the data.
+    ShardNo(u32);
+    /// A cell of nodes; cells decide who holds which shard.
+    CellNo(u32);
+    /// A place in the list of categories.
+    CategoryNo(u16);
+    /// A place in the list of callers that share the service.
+    CallerNo(u32);
+    /// A place in the list of zones.
+    ZoneNo(u16);
+}
--- /dev/null
+++ b/crates/barleydrum/src/inputs.rs
@@ -0,0 +1,109 @@
+//! What a broker hears.
+
+use crate::ids::{
+    CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
+};
+use crate::time::Tenths;
+use std::sync::Arc;
+
+/// One thing heard. A front gives a turn all that has come in, in the order in which it came.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Word of the nodes.
+    Roll(Roll),
+    /// A call for the roll failed, or the following of it broke off; the old roll still holds.
+    RollFailed,
+    /// A retrieval is handed over; its parts follow in the same turn.
+    Retrieval(NewRetrieval),
+    Part(NewPart),
+    /// A push's answer has begun to flow; the part is bound to that push.
+    Flowing(PartId),
+    /// The one end of a push.
+    Outcome(PushOutcome),
+    /// The caller has left, or its time is up.
+    CallerLeft(RetrievalId),
+    /// A wake-up that was asked for.
+    Woken,
+    /// A probe's result, or word from another broker: heard, and not acted on.
+    Aside,
+}
+
+/// A roll of nodes: all of them, or those that changed.
+#[derive(Clone, Debug)]
+pub struct Roll {
+    pub kind: RollKind,
+    pub entries: Arc<[RollEntry]>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RollKind {
+    /// Those that changed.
+    Changes,
+    /// All; who is not on it is gone.
+    Full,
+    /// All, as this broker last saw it; possibly stale.
+    Remembered,
+}
+
+#[derive(Clone, Debug)]
+pub struct RollEntry {
+    pub node: NodeId,
+    pub zone: ZoneNo,
+    pub cell: CellNo,
+    pub standing: Standing,
+    /// When it last started; none: long ago.
+    pub started: Option<Tenths>,
+}
+
+/// What the roll says of a node.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    #[default]
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct NewRetrieval {
+    pub id: RetrievalId,
+    pub group: GroupNo,
+    pub category: CategoryNo,
+    pub caller: CallerNo,
+    /// How long its caller will wait.
+    pub time_left: Tenths,
+}
+
+#[derive(Clone, Debug)]
+pub struct NewPart {
+    pub id: PartId,
+    pub group: GroupNo,
+    pub shard: ShardNo,
+    pub weight: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct PushOutcome {
+    pub part: PartId,
+    pub push: PushNo,
+    pub node: NodeId,
+    pub end: PushEnd,
+    pub took: Tenths,
+}
+
+/// How a push ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PushEnd {
+    Finished,
+    /// The node answered with an error.
+    Errored,
+    /// Turned away unseen.
+    Full,
+    TimedOut,
+    NoConnection,
+    /// The connection dropped while the push was out.
+    Dropped,
+    Withdrawn,
+    /// It was never sent.
+    NotSent,
+}
--- /dev/null
+++ b/crates/barleydrum/src/lib.rs
@@ -0,0 +1,28 @@
+//! The decisions of a broker that reads many shards for one retrieval.
+//!
+//! A front (a program that owns sockets or a simulator's wire) makes one [`Broker`] from a
+//! [`Prescription`], a seed and the time, then hands it everything heard in [`Broker::turn`]
+//! and carries out the [`Effect`]s that come back, in their order. The library does no I/O
+//! and reads no clock.
+//!
+//! ```
+//! use barleydrum::{Broker, Input, Prescription, Tenths};
+//!
+//! let mut broker = Broker::start(Prescription::default(), 7, Tenths(0));
+//! assert!(broker.turn(Tenths(50), &[Input::Woken]).is_empty());
+//! ```
+
+mod effects;
+mod ids;
+mod inputs;
+mod policy;
+mod prescription;
+mod state;
+mod time;
+
+pub use effects::Effect;
+pub use ids::*;
+pub use inputs::*;
+pub use policy::Broker;
+pub use prescription::*;
+pub use time::Tenths;
--- /dev/null
+++ b/crates/barleydrum/src/policy.rs
@@ -0,0 +1,825 @@
+//! All decisions of one broker. Make it with `Broker::start`, then give `Broker::turn` what has
+//! been heard and carry out what comes back. What it hears is in `inputs.rs`, what it does in
+//! `effects.rs`, what it is handed at start in `prescription.rs`, what it remembers in `state.rs`;
+//! `docs/design.md` tells why. Read `TABLE` first: it is the life of a retrieval. `ENDS` tells what
+//! each end of a push means. Everything else is a guard or an act that these two name.
+
+use crate::effects::Effect;
+use crate::ids::{CallNo, CategoryNo, NodeId, PartId, PushNo, RetrievalId};
+use crate::inputs::{Input, NewPart, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind, Standing};
+use crate::prescription::{EffectKind, FurtherBudget, Prescription};
+use crate::state::{Due, Fate, Instance, Node, Part, PartStage, Push, Retrieval, Stage, Ticket};
+use crate::time::Tenths;
+
+/// The design page's figures: score below which a part stays unsent, the base's ceiling, the
+/// pressure from which it rises, and the span over which pressure and latency are smoothed.
+const CUT: f64 = 0.0001;
+const FULL_BASE: f64 = 10.0;
+const START: f64 = 0.1;
+const SPAN: Tenths = Tenths(50_000);
+/// Weights are told with this much rounding at the most (half of what an answer may fall short).
+const ROUNDING: f64 = 0.00005;
+/// A new latency counts for this share of a node's smoothed one.
+const NEWEST: f64 = 0.25;
+/// Before anything was heard, a part is taken to last this share of the shortest goal time.
+const GUESS: f64 = 0.125;
+/// Patience with a push, in average latencies, and its bounds as shares of the goal time.
+const PATIENCE: f64 = 3.0;
+const PATIENCE_BOUNDS: (f64, f64) = (0.2, 0.5);
+/// A push is made again elsewhere only where that looks this many times as fast.
+const WORTH_MOVING: f64 = 2.0;
+/// A waiting part tries again after this share of its goal time.
+const AGAIN: f64 = 0.05;
+/// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
+const OWN_FURTHER: f64 = 0.25;
+/// Taking on is thinned from this share of the goal time on, and by this much at the most.
+const THIN_FROM: f64 = 0.5;
+const THIN_MOST: f64 = 0.9;
+/// Answers leave before the goal time by two turns and this share of it.
+const GOAL_MARGIN: f64 = 0.02;
+/// The first wait before the roll is asked for again, as a share of the time it may be silent.
+const ROLL_WAIT: f64 = 0.025;
+
+/// What a category's row holds, worked out once from the prescription.
+struct CategoryRow {
+    goal: Tenths,
+    /// How long after its goal a push may still be of use.
+    late_life: Tenths,
+    /// An answer after the goal time is worth waiting for.
+    late_pays: bool,
+    least: f64,
+    whole: f64,
+    partial: bool,
+    two_steps: bool,
+    effect: EffectKind,
+    repeat_window: Tenths,
+    /// The most pushes for a part, by payoff.
+    pushes: usize,
+    /// Payoff as a share of the largest.
+    value: f64,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Signal {
+    /// All parts that came in this turn are in hand.
+    Ready,
+    PartIn,
+    PartLost,
+    GoalNear,
+    CutOffNear,
+    Said,
+    CallerLeft,
+}
+
+type Guard = fn(&mut Broker, &Retrieval) -> bool;
+type Act = fn(&mut Broker, &mut Retrieval);
+
+struct Row(Stage, Signal, Guard, Stage, Act);
+
+/// The life of a retrieval: at a stage, on a signal, if the guard holds, go to the next stage and
+/// act. The first row that fits is taken; where none fits, nothing happens.
+#[rustfmt::skip]
+const TABLE: &[Row] = &[
+    Row(Stage::Taken,    Signal::Ready,      Broker::swamped,      Stage::Over,     Broker::give_up),
+    Row(Stage::Taken,    Signal::Ready,      Broker::always,       Stage::Asking,   Broker::ask),
+    Row(Stage::Asking,   Signal::PartIn,     Broker::complete,     Stage::Answered, Broker::answer),
+    Row(Stage::Asking,   Signal::PartLost,   Broker::complete,     Stage::Answered, Broker::answer),
+    Row(Stage::Asking,   Signal::PartLost,   Broker::can_mend,     Stage::Asking,   Broker::mend),
+    Row(Stage::Asking,   Signal::PartLost,   Broker::beyond_hope,  Stage::Over,     Broker::give_up),
+    Row(Stage::Asking,   Signal::GoalNear,   Broker::has_least,    Stage::Answered, Broker::answer),
+    Row(Stage::Asking,   Signal::GoalNear,   Broker::late_is_worth, Stage::Overdue, Broker::stop_asking),
+    Row(Stage::Asking,   Signal::GoalNear,   Broker::always,       Stage::Over,     Broker::give_up),
+    Row(Stage::Overdue,  Signal::PartIn,     Broker::has_least,    Stage::Answered, Broker::answer),
+    Row(Stage::Overdue,  Signal::PartLost,   Broker::beyond_hope,  Stage::Over,     Broker::give_up),
+    Row(Stage::Answered, Signal::Said,       Broker::leads_on,     Stage::Between,  Broker::clear_parts),
+    Row(Stage::Answered, Signal::Said,       Broker::always,       Stage::Over,     Broker::nothing),
+    Row(Stage::Between,  Signal::Ready,      Broker::always,       Stage::Asking,   Broker::ask),
+    Row(Stage::Taken,    Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
+    Row(Stage::Asking,   Signal::CutOffNear, Broker::has_least,    Stage::Answered, Broker::answer),
+    Row(Stage::Asking,   Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
+    Row(Stage::Overdue,  Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
+    Row(Stage::Between,  Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
+    Row(Stage::Taken,    Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
+    Row(Stage::Asking,   Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
+    Row(Stage::Overdue,  Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
+    Row(Stage::Between,  Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
+];
+
+/// What a push's end tells: what became of the effect, whether it is harm that counts as pressure,
+/// whether the node is to blame, and whether its process looks down.
+struct End {
+    fate: Fate,
+    harm: bool,
+    blame: bool,
+    down: bool,
+}
+
+#[rustfmt::skip]
+const ENDS: &[(PushEnd, End)] = &[
+    (PushEnd::Finished,     End { fate: Fate::MayHaveRun, harm: false, blame: false, down: false }),
+    (PushEnd::Errored,      End { fate: Fate::MayHaveRun, harm: false, blame: true,  down: false }),
+    (PushEnd::Full,         End { fate: Fate::NeverRan,   harm: true,  blame: true,  down: false }),
+    (PushEnd::TimedOut,     End { fate: Fate::MayHaveRun, harm: true,  blame: true,  down: false }),
+    (PushEnd::NoConnection, End { fate: Fate::NeverRan,   harm: false, blame: true,  down: true }),
+    (PushEnd::Dropped,      End { fate: Fate::MayHaveRun, harm: false, blame: true,  down: true }),
+    (PushEnd::Withdrawn,    End { fate: Fate::MayHaveRun, harm: false, blame: false, down: false }),
+    (PushEnd::NotSent,      End { fate: Fate::Void,       harm: false, blame: false, down: false }),
+];
+
+/// Decides for one broker, from nothing but what that broker was told.
+pub struct Broker {
+    prescription: Prescription,
+    rows: Vec<CategoryRow>,
+    further: FurtherBudget,
+    rng: fastrand::Rng,
+    s: Instance,
+}
+
+impl Broker {
+    /// A broker that has just started and knows nothing but its prescription.
+    pub fn start(prescription: Prescription, seed: u64, now: Tenths) -> Broker {
+        let p = &prescription;
+        let best = p.categories.iter().map(|c| c.payoff).fold(f64::MIN_POSITIVE, f64::max);
+        let rows = p.categories.iter().map(|c| CategoryRow {
+            goal: c.goal_time.min(c.cut_off),
+            late_life: (c.cut_off - c.goal_time).max(Tenths::ZERO).times(c.late_share),
+            late_pays: c.late_share > p.late_scrap_price,
+            least: c.least_share.min(c.whole_from),
+            whole: c.whole_from,
+            partial: c.least_share < c.whole_from,
+            two_steps: c.second_parts > 0,
+            effect: c.effect,
+            repeat_window: c.repeat_window,
+            pushes: 1 + (p.limits.most_pushes.max(1) as f64 - 1.0).mul_add(c.payoff / best, 0.5) as usize,
+            value: c.payoff / best,
+        });
+        // A broker's own restraint where none is stated: one node's outage must not double the load.
+        let own = FurtherBudget { floor: p.limits.most_pushes.into(), share: OWN_FURTHER, window: SPAN };
+        let mut s = Instance { now, ..Instance::default() };
+        if p.roll_on_request {
+            s.agenda.insert((now, Due::FollowRoll));
+        }
+        let rows = rows.collect();
+        let further = p.rules.further.clone().unwrap_or(own);
+        Broker { rows, further, rng: fastrand::Rng::with_seed(seed), s, prescription }
+    }
+
+    /// Takes in all that was heard, in order, and tells what to do at this same moment.
+    pub fn turn(&mut self, now: Tenths, inputs: &[Input]) -> Vec<Effect> {
+        self.s.now = now;
+        self.s.average = self.average_latency();
+        for input in inputs {
+            self.hear(input);
+        }
+        while let Some(&(at, due)) = self.s.agenda.first().filter(|(at, _)| *at <= now) {
+            self.s.agenda.remove(&(at, due));
+            self.come_due(due);
+        }
+        for id in std::mem::take(&mut self.s.fresh) {
+            self.signal(id, Signal::Ready);
+        }
+        self.send_wanted();
+        self.ask_to_be_woken();
+        std::mem::take(&mut self.s.effects)
+    }
+
+    fn hear(&mut self, input: &Input) {
+        match input {
+            Input::Roll(roll) => self.read_roll(roll),
+            Input::RollFailed => self.roll_failed(),
+            Input::Retrieval(new) => self.take(new),
+            Input::Part(new) => self.take_part(new),
+            Input::Flowing(part) => self.with_part(*part, |part| part.flowing = true),
+            Input::Outcome(outcome) => self.push_ended(outcome),
+            Input::CallerLeft(id) => self.signal(*id, Signal::CallerLeft),
+            Input::Woken | Input::Aside => {}
+        }
+    }
+
+    fn come_due(&mut self, due: Due) {
+        match due {
+            Due::Goal(id) => self.signal(id, Signal::GoalNear),
+            Due::CutOff(id) => self.signal(id, Signal::CutOffNear),
+            Due::Look(part, push) => self.look_after(part, push),
+            Due::Again(part) => self.s.wanted.push(part),
+            Due::FollowRoll => self.follow_roll(),
+        }
+    }
+
+    /// The loop that reads `TABLE`.
+    fn signal(&mut self, id: RetrievalId, signal: Signal) {
+        let Some(mut r) = self.s.retrievals.remove(&id) else { return };
+        if let Some(Row(_, _, _, next, act)) =
+            TABLE.iter().find(|row| row.0 == r.stage && row.1 == signal && row.2(self, &r))
+        {
+            r.stage = *next;
+            act(self, &mut r);
+        }
+        match r.stage {
+            Stage::Over => self.forget(&r),
+            Stage::Answered => {
+                self.s.retrievals.insert(id, r);
+                self.signal(id, Signal::Said);
+            }
+            _ => _ = self.s.retrievals.insert(id, r),
+        }
+    }
+
+    // ---- guards
+
+    fn always(&mut self, _: &Retrieval) -> bool {
+        true
+    }
+
+    /// All that was sent has come to its end, or enough is in for the whole.
+    fn complete(&mut self, r: &Retrieval) -> bool {
+        self.has_least(r) && (self.is_whole(r) || weight(r, &[PartStage::Wanted, PartStage::Out]) == 0.0)
+    }
+
+    fn has_least(&mut self, r: &Retrieval) -> bool {
+        self.reaches_least(r, weight(r, &[PartStage::In]))
+    }
+
+    /// Unsent light parts can stand in for lost ones.
+    fn can_mend(&mut self, r: &Retrieval) -> bool {
+        let all = weight(r, &[PartStage::Unsent, PartStage::Wanted, PartStage::Out, PartStage::In]);
+        self.beyond_hope(r) && self.reaches_least(r, all)
+    }
+
+    /// Even if all that is out comes in, it is less than the least share.
+    fn beyond_hope(&mut self, r: &Retrieval) -> bool {
+        !self.reaches_least(r, weight(r, &[PartStage::Wanted, PartStage::Out, PartStage::In]))
+    }
+
+    fn late_is_worth(&mut self, r: &Retrieval) -> bool {
+        self.row(r).late_pays && self.reaches_least(r, weight(r, &[PartStage::Out, PartStage::In]))
+    }
+
+    fn leads_on(&mut self, r: &Retrieval) -> bool {
+        self.row(r).two_steps && r.first_whole.is_none()
+    }
+
+    /// Guards against queues that outgrow the goal time, whatever fills them: taking on is thinned
+    /// as the latency that the retrieval must expect nears its goal time, first what pays least and
+    /// callers beyond their share. It never turns all away, so that latency goes on being heard.
+    /// Harm: a retrieval is turned away that a lucky replica would have answered in time.
+    fn swamped(&mut self, r: &Retrieval) -> bool {
+        let row = self.row(r);
+        let (least, value) = (row.least, row.value);
+        let mut waits: Vec<(Tenths, f64)> =
+            r.parts.iter().filter_map(|p| Some((self.wait_for(p)?, p.weight))).collect();
+        waits.sort_by_key(|wait| wait.0);
+        let all: f64 = waits.iter().map(|w| w.1).sum();
+        let mut sum = 0.0;
+        let slowest = waits.iter().find(|w| {
+            sum += w.1;
+            sum + ROUNDING >= least * all
+        });
+        let Some((wait, _)) = slowest else { return false };
+        let from = THIN_FROM * (1.0 + value / 2.0) * if r.within_share { 1.0 } else { 0.5 };
+        let over = (wait.over(r.goal_at - self.s.now) - from) / (1.0 - from);
+        self.rng.f64() < over.min(THIN_MOST)
+    }
+
+    // ---- acts
+
+    fn nothing(&mut self, _: &mut Retrieval) {}
+
+    /// The design's ordinary path: parts by told weight, score = weight x B^-rank, none sent that
+    /// scores under `CUT`, and never less than the least share.
+    /// Parts of even weight share a rank (the count of heavier ones): else many small even parts
+    /// would collapse to a few as soon as B passes 1.
+    /// A part whose every holder is too slow for the goal time counts as cut: else a hot or dead
+    /// shard's heavy part keeps its rank and is sent for nothing while light ones are trimmed.
+    fn ask(&mut self, r: &mut Retrieval) {
+        let base = self.base(r.within_share);
+        let (least, partial) = (self.row(r).least, self.row(r).partial);
+        let life = r.goal_at - self.s.now;
+        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
+        let mut order: Vec<(bool, usize)> = Vec::new();
+        let (mut rank, mut level) = (0, f64::INFINITY);
+        for (at, part) in r.parts.iter().enumerate() {
+            if part.weight + ROUNDING < level {
+                (rank, level) = (at, part.weight);
+            }
+            let hopeless = self.wait_for(part).is_some_and(|wait| wait > life);
+            let cut = partial && base > 1.0 && part.weight * base.powi(-(rank as i32)) < CUT;
+            order.push((partial && (cut || hopeless), at));
+        }
+        order.sort();
+        let mut sent = 0.0;
+        for (cut, at) in order {
+            let part = &mut r.parts[at];
+            if !cut || sent + ROUNDING < least {
+                sent += part.weight;
+                part.stage = PartStage::Wanted;
+                self.s.wanted.push(part.id);
+            }
+        }
+        for (at, part) in r.parts.iter().enumerate() {
+            self.s.parts.insert(part.id, (r.id, at));
+        }
+    }
+
+    /// Sends the heaviest unsent parts that make up for what was lost.
+    fn mend(&mut self, r: &mut Retrieval) {
+        while self.beyond_hope(r) {
+            let Some(part) = r.parts.iter_mut().find(|p| p.stage == PartStage::Unsent) else { break };
+            part.stage = PartStage::Wanted;
+            self.s.wanted.push(part.id);
+        }
+    }
+
+    fn answer(&mut self, r: &mut Retrieval) {
+        let whole = self.is_whole(r);
+        self.s.effects.push(Effect::Answer { retrieval: r.id, whole });
+        if r.first_whole.is_none() && self.row(r).two_steps {
+            r.first_whole = Some(whole);
+        }
+    }
+
+    fn clear_parts(&mut self, r: &mut Retrieval) {
+        self.call_off(r);
+        r.parts.clear();
+    }
+
+    fn stop_asking(&mut self, r: &mut Retrieval) {
+        for part in r.parts.iter_mut().filter(|p| p.stage == PartStage::Wanted) {
+            part.stage = PartStage::Lost;
+        }
+    }
+
+    /// A decline where asking again is harmless, else a scrapping.
+    fn give_up(&mut self, r: &mut Retrieval) {
+        let limits = &self.prescription.limits;
+        let never_ran =
+            r.parts.iter().flat_map(|p| &p.pushes).all(|p| matches!(p.fate, Fate::NeverRan | Fate::Void));
+        let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && r.first_whole.is_none();
+        let stay_away =
+            if limits.stay_away { self.row(r).goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
+        self.s.effects.push(match harmless {
+            true => Effect::Decline { retrieval: r.id, stay_away },
+            false => Effect::Scrap { retrieval: r.id },
+        });
+    }
+
+    // ---- taking on
+
+    fn take(&mut self, new: &NewRetrieval) {
+        let Some(row) = self.rows.get(new.category.0 as usize) else { return };
+        let now = self.s.now;
+        let turns = self.prescription.period.times(2.0);
+        let goal_at = now + row.goal.min(new.time_left) - row.goal.times(GOAL_MARGIN) - turns;
+        let cut_off_at = now + new.time_left - turns.times(2.0);
+        self.s.taken.push_back(now);
+        let rate = self.s.callers.entry(new.caller).or_default();
+        rate.add(now, SPAN, 1.0);
+        // A caller's share is split evenly over the brokers: this one sees no other's traffic.
+        let within_share = self.prescription.callers.get(new.caller.0 as usize).is_none_or(|caller| {
+            let mine = caller.quota_per_s / f64::from(self.prescription.brokers.max(1));
+            rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
+        });
+        self.s.agenda.insert((goal_at, Due::Goal(new.id)));
+        self.s.agenda.insert((cut_off_at, Due::CutOff(new.id)));
+        self.s.groups.insert(new.group, new.id);
+        self.s.fresh.insert(new.id);
+        let (id, group, category) = (new.id, new.group, new.category);
+        let (stage, first_whole, parts) = (Stage::Taken, None, Vec::new());
+        let r =
+            Retrieval { id, group, category, within_share, stage, goal_at, cut_off_at, first_whole, parts };
+        self.s.retrievals.insert(id, r);
+    }
+
+    fn take_part(&mut self, new: &NewPart) {
+        self.s.taken.push_back(self.s.now);
+        let Some(id) = self.s.groups.get(&new.group) else { return };
+        let Some(r) = self.s.retrievals.get_mut(id) else { return };
+        self.s.fresh.insert(*id);
+        let (stage, flowing, pushes) = (PartStage::Unsent, false, Vec::new());
+        r.parts.push(Part { id: new.id, shard: new.shard, weight: new.weight, stage, flowing, pushes });
+    }
+
+    fn forget(&mut self, r: &Retrieval) {
+        self.call_off(r);
+        self.s.groups.remove(&r.group);
+        self.s.agenda.remove(&(r.goal_at, Due::Goal(r.id)));
+        self.s.agenda.remove(&(r.cut_off_at, Due::CutOff(r.id)));
+    }
+
+    /// Drops a retrieval's parts, and what they still have out.
+    fn call_off(&mut self, r: &Retrieval) {
+        for part in &r.parts {
+            self.s.parts.remove(&part.id);
+            if !self.prescription.limits.may_withdraw || part.flowing {
+                continue;
+            }
+            for (no, push) in part.pushes.iter().enumerate() {
+                if push.fate == Fate::Out && !push.withdrawn {
+                    let push = PushNo(no as u16);
+                    self.s.effects.push(Effect::Withdraw { part: part.id, push });
+                }
+            }
+        }
+    }
+
+    // ---- pushes
+
+    /// Chooses a node for each wanted part; pushes of one turn to one node share its call.
+    fn send_wanted(&mut self) {
+        for id in std::mem::take(&mut self.s.wanted) {
+            let Some(&(rid, at)) = self.s.parts.get(&id) else { continue };
+            let Some(mut r) = self.s.retrievals.remove(&rid) else { continue };
+            if r.stage == Stage::Asking && r.parts[at].stage == PartStage::Wanted {
+                self.push(&mut r, at);
+            }
+            self.s.retrievals.insert(rid, r);
+        }
+        for node in self.s.nodes.values_mut() {
+            node.riding = None;
+        }
+    }
+
+    fn push(&mut self, r: &mut Retrieval, at: usize) {
+        let now = self.s.now;
+        let (goal, late_life) = (self.row(r).goal, self.row(r).late_life);
+        let part = &mut r.parts[at];
+        let further = !part.pushes.is_empty();
+        let node = self.choose(part).filter(|_| !further || self.further_left());
+        let Some(node) = node else {
+            // No holder may have it now, or the budget is spent: it waits while that can help.
+            if part.pushes.iter().any(|p| p.fate == Fate::Out) {
+                part.stage = PartStage::Out;
+            } else {
+                self.s.agenda.insert((now + goal.times(AGAIN).max(Tenths(1)), Due::Again(part.id)));
+            }
+            return;
+        };
+        let no = PushNo(part.pushes.len() as u16);
+        if further {
+            self.s.further.push_back((now, part.id, no));
+        }
+        let call = self.ride(node);
+        let (id, within_share) = (part.id, r.within_share);
+        part.stage = PartStage::Out;
+        part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
+        self.s.tickets.insert((id, no), Ticket { node, call, within_share });
+        let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
+        self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
+        self.s.agenda.insert((now + self.patience(goal), Due::Look(id, no)));
+    }
+
+    /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
+    /// turn opens no other. Close calls go to the own zone, then to a call of this turn, then by lot.
+    fn choose(&mut self, part: &Part) -> Option<NodeId> {
+        let open = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id || p.fate != Fate::Out);
+        let untried = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id);
+        let usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
+        let fresh: Vec<NodeId> = usable.iter().copied().filter(untried).collect();
+        let from = if fresh.is_empty() { usable } else { fresh };
+        let scored: Vec<(f64, NodeId)> = from.iter().map(|id| (self.score(id), *id)).collect();
+        let best = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
+        let close = scored.iter().filter(|s| s.0 <= best * (1.0 + START)).map(|s| s.1);
+        let zone = self.prescription.zone;
+        let key = |id: &NodeId| (self.s.nodes[id].zone != zone, self.s.nodes[id].riding.is_none());
+        let first = close.clone().map(|id| key(&id)).min()?;
+        let tied: Vec<NodeId> = close.filter(|id| key(id) == first).collect();
+        Some(tied[self.rng.usize(..tied.len())])
+    }
+
+    fn score(&self, id: &NodeId) -> f64 {
+        let node = &self.s.nodes[id];
+        let joins = node.riding.is_some_and(|(_, parts)| parts < self.prescription.layout.per_call);
+        self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
+    }
+
+    /// The call that a push of this turn to this node travels in.
+    fn ride(&mut self, id: NodeId) -> CallNo {
+        let (now, per_call, cold) = (self.s.now, self.prescription.layout.per_call, self.is_cold(id));
+        let node = self.s.nodes.get_mut(&id).expect("chosen from the nodes");
+        let (call, parts) = match node.riding {
+            Some((call, parts)) if parts < per_call => (call, parts + 1),
+            _ => {
+                self.s.next_call.0 += 1;
+                (self.s.next_call, 1)
+            }
+        };
+        node.riding = Some((call, parts));
+        let entry = node.calls.entry(call).or_insert(crate::state::Call { sent: now, parts_out: 0 });
+        entry.parts_out += 1;
+        if cold {
+            node.cold_pushes.push_back(now);
+        }
+        call
+    }
+
+    /// How long a push is left alone.
+    fn patience(&self, goal: Tenths) -> Tenths {
+        let (low, high) = PATIENCE_BOUNDS;
+        self.average().times(PATIENCE).max(goal.times(low)).min(goal.times(high))
+    }
+
+    /// Guards against nodes that take parts and do not answer, for whatever reason (hung, silent,
+    /// standing still, cut off, crawling): once patience is up and another holder looks far faster
+    /// than this node's latency, which its silence lengthens, the part is pushed there too, or in
+    /// place of the first push where copies are not allowed. Under load that is even all over, no
+    /// holder looks far faster and nothing is pushed again. Harm: work done twice.
+    fn look_after(&mut self, id: PartId, no: PushNo) {
+        let Some(&(rid, at)) = self.s.parts.get(&id) else { return };
+        let Some(mut r) = self.s.retrievals.remove(&rid) else { return };
+        let limits = &self.prescription.limits;
+        let (copies, may_withdraw) = (limits.copies, limits.may_withdraw);
+        let push = &r.parts[at].pushes[no.0 as usize];
+        if r.stage == Stage::Asking && push.fate == Fate::Out && !push.withdrawn && !r.parts[at].flowing {
+            let now = self.s.now;
+            let here = self.s.nodes.get(&push.node).map_or(self.average(), |n| self.latency(n));
+            let out = r.parts[at].pushes.iter().filter(|p| p.fate == Fate::Out).count();
+            let again = out == 1 && self.may_push_again(&r, at, true);
+            let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
+            let faster = elsewhere.is_some_and(|there| {
+                there.times(WORTH_MOVING) < here && now + there < r.goal_at && self.further_left()
+            });
+            let goal = self.row(&r).goal;
+            if again && faster && copies {
+                r.parts[at].stage = PartStage::Wanted;
+                self.s.wanted.push(id);
+            } else if again && faster && may_withdraw {
+                r.parts[at].pushes[no.0 as usize].withdrawn = true;
+                self.s.effects.push(Effect::Withdraw { part: id, push: no });
+            } else {
+                self.s.agenda.insert((now + goal.times(AGAIN).max(Tenths(1)), Due::Look(id, no)));
+            }
+        }
+        self.s.retrievals.insert(rid, r);
+    }
+
+    /// Whether another push of a part would keep rule 2 and its count. `copy`: while one is out.
+    fn may_push_again(&self, r: &Retrieval, at: usize, copy: bool) -> bool {
+        let (row, part) = (self.row(r), &r.parts[at]);
+        let ran = part.pushes.iter().filter(|p| p.fate == Fate::MayHaveRun || copy && p.fate == Fate::Out);
+        let first = ran.map(|p| p.sent).min();
+        // The window is measured as if the next push left two turns late.
+        let then = self.s.now + self.prescription.period.times(2.0);
+        part.pushes.len() < row.pushes
+            && match (row.effect, first) {
+                (_, None) | (EffectKind::Reissuable, _) => true,
+                (EffectKind::Numbered, Some(first)) => then - first <= row.repeat_window,
+                (EffectKind::AtMostOnce, Some(_)) => false,
+            }
+    }
+
+    fn push_ended(&mut self, outcome: &PushOutcome) {
+        let Some((_, end)) = ENDS.iter().find(|(end, _)| *end == outcome.end) else { return };
+        if let Some(ticket) = self.s.tickets.remove(&(outcome.part, outcome.push)) {
+            self.learn(&ticket, outcome, end);
+        }
+        if end.fate == Fate::Void {
+            self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
+        }
+        let Some(&(rid, at)) = self.s.parts.get(&outcome.part) else { return };
+        let Some(mut r) = self.s.retrievals.remove(&rid) else { return };
+        let part = &mut r.parts[at];
+        let Some(push) = part.pushes.get_mut(outcome.push.0 as usize) else {
+            self.s.retrievals.insert(rid, r);
+            return;
+        };
+        push.fate = end.fate;
+        let others_out = part.pushes.iter().any(|p| p.fate == Fate::Out);
+        let was = part.stage;
+        let again = r.stage == Stage::Asking && self.may_push_again(&r, at, false);
+        let stage = match outcome.end {
+            _ if was == PartStage::In => PartStage::In,
+            PushEnd::Finished => PartStage::In,
+            _ if others_out => PartStage::Out,
+            PushEnd::NotSent => PartStage::Lost,
+            _ if again => PartStage::Wanted,
+            _ => PartStage::Lost,
+        };
+        r.parts[at].stage = stage;
+        self.s.retrievals.insert(rid, r);
+        match stage {
+            PartStage::In if was != stage => self.signal(rid, Signal::PartIn),
+            PartStage::Wanted => self.s.wanted.push(outcome.part),
+            PartStage::Lost if was != stage => self.signal(rid, Signal::PartLost),
+            _ => {}
+        }
+    }
+
+    /// Keeps the node's latency and the pressure.
+    /// Guards against quick errors that would make a dead node look fast: a failure counts as the
+    /// average latency at least, doubled for each failure in a row.
+    fn learn(&mut self, ticket: &Ticket, outcome: &PushOutcome, end: &End) {
+        let (now, average) = (self.s.now, self.average());
+        let longest = self.rows.iter().map(|row| row.goal).max().unwrap_or(average);
+        if end.fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
+            let harm = f64::from(u8::from(end.harm));
+            let gauges = [&mut self.s.pressure_all, &mut self.s.pressure_within];
+            for gauge in gauges.into_iter().take(1 + usize::from(ticket.within_share)) {
+                gauge.harmed.add(now, SPAN, harm);
+                gauge.all.add(now, SPAN, 1.0);
+            }
+        }
+        let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
+        if let Some(call) = node.calls.get_mut(&ticket.call) {
+            call.parts_out -= 1;
+            if call.parts_out == 0 {
+                node.calls.remove(&ticket.call);
+            }
+        }
+        let sample = match (outcome.end, end.blame) {
+            (PushEnd::NotSent, _) => return,
+            (PushEnd::Withdrawn, _) if node.latency.is_some_and(|l| outcome.took < l) => return,
+            (_, false) => outcome.took,
+            (_, true) => {
+                node.failures = (node.failures + 1).min(16);
+                outcome.took.max(average.times(f64::from(1 << node.failures)).min(longest))
+            }
+        };
+        if outcome.end == PushEnd::Finished {
+            (node.failures, node.heard_at) = (0, now);
+        }
+        let old = node.latency.unwrap_or(sample);
+        node.latency = Some(old + (sample - old).times(NEWEST));
+        node.sampled_at = now;
+        if end.down {
+            // It may come back cold before the roll says so: taken to start when last seen down.
+            node.started = node.started.max(Some(now));
+        }
+    }
+
+    // ---- nodes
+
+    fn holders<'a>(&'a self, part: &Part) -> impl Iterator<Item = NodeId> + 'a {
+        let ids = self.prescription.layout.cells_of(part.shard).filter_map(|cell| self.s.holders.get(&cell));
+        ids.flatten().copied().filter(|id| self.s.nodes[id].standing == Standing::Ready)
+    }
+
+    /// The latency that a part must expect at its best holder; none where no node holds it now.
+    fn wait_for(&self, part: &Part) -> Option<Tenths> {
+        self.holders(part).map(|id| self.latency(&self.s.nodes[&id])).min()
+    }
+
+    /// Smoothed latency. What was heard long ago fades toward the average, so that a node in doubt
+    /// gets a part to show itself with. Silence since the oldest call out counts as latency.
+    fn latency(&self, node: &Node) -> Tenths {
+        let average = self.average();
+        let heard = node.latency.map_or(average, |latency| {
+            let age = (self.s.now - node.sampled_at).over(SPAN);
+            average + (latency - average).times((-age).exp())
+        });
+        let silence = node.calls.values().next().map(|call| self.s.now - call.sent.max(node.heard_at));
+        heard.max(silence.unwrap_or(Tenths::ZERO))
+    }
+
+    fn average(&self) -> Tenths {
+        let shortest = self.rows.iter().map(|row| row.goal).min().unwrap_or(SPAN);
+        self.s.average.unwrap_or(shortest.times(GUESS)).max(Tenths(1))
+    }
+
+    fn average_latency(&self) -> Option<Tenths> {
+        let ready = self.s.nodes.values().filter(|n| n.standing == Standing::Ready);
+        let heard: Vec<i64> = ready.filter_map(|n| n.latency).map(|l| l.0).collect();
+        (!heard.is_empty()).then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
+    }
+
+    fn is_cold(&self, id: NodeId) -> bool {
+        let warm_after = self.prescription.rules.warm_after;
+        self.s.nodes[&id].started.is_some_and(|at| self.s.now - at < warm_after)
+    }
+
+    /// Rule 4, kept whatever the other brokers send: a cold node gets no more than this broker's
+    /// even share of what it is sure to bear. It is sure to do one part at a time at the average
+    /// latency, times the share that it has warmed to at the least.
+    fn has_room(&self, id: &NodeId) -> bool {
+        if !self.is_cold(*id) {
+            return true;
+        }
+        let (rules, node) = (&self.prescription.rules, &self.s.nodes[id]);
+        let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
+        let share = rules.cold_share + (1.0 - rules.cold_share) * age;
+        let bears = rules.fall_multiple * share * rules.fall_window.over(self.average());
+        let mine = bears / f64::from(self.prescription.brokers.max(1));
+        // Under one push a window: the window is taken longer.
+        let window = rules.fall_window.times(1.0 / mine.clamp(0.001, 1.0));
+        let since = self.s.now - window;
+        let lately = node.cold_pushes.iter().rev().take_while(|at| **at >= since).count();
+        lately < mine.max(1.0) as usize
+    }
+
+    fn read_roll(&mut self, roll: &Roll) {
+        (self.s.roll_failures, self.s.roll_heard) = (0, true);
+        if roll.kind != RollKind::Changes {
+            self.s.nodes.values_mut().for_each(|node| node.standing = Standing::Gone);
+        }
+        for entry in roll.entries.iter() {
+            let node = self.s.nodes.entry(entry.node).or_default();
+            if let Some(ids) = self.s.holders.get_mut(&node.cell) {
+                ids.remove(&entry.node);
+            }
+            if entry.started > node.started {
+                // A new process under an old id: nothing heard of the old one holds.
+                (node.latency, node.failures, node.started) = (None, 0, entry.started);
+            }
+            (node.zone, node.cell, node.standing) = (entry.zone, entry.cell, entry.standing);
+            self.s.holders.entry(entry.cell).or_default().insert(entry.node);
+        }
+    }
+
+    // ---- the roll
+
+    /// Follows the roll, and asks again as long as nothing has come.
+    fn follow_roll(&mut self) {
+        self.s.effects.push(Effect::FollowRoll);
+        self.s.roll_heard = false;
+    }
+
+    /// The roll's service is shared and finite: each failure doubles the wait, and lots are drawn.
+    fn roll_failed(&mut self) {
+        if !self.prescription.roll_on_request {
+            return;
+        }
+        let within = self.prescription.rules.ask_within;
+        let wait = within.times(ROLL_WAIT * f64::from(1 << self.s.roll_failures.min(4)));
+        self.s.roll_failures += 1;
+        let at = self.s.now + wait.times(0.5 + self.rng.f64());
+        self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
+        self.s.agenda.insert((at, Due::FollowRoll));
+    }
+
+    // ---- figures
+
+    fn row(&self, r: &Retrieval) -> &CategoryRow {
+        let CategoryNo(no) = r.category;
+        &self.rows[no as usize]
+    }
+
+    fn is_whole(&self, r: &Retrieval) -> bool {
+        let all_in = r.parts.iter().all(|p| p.stage == PartStage::In);
+        match r.first_whole {
+            None => weight(r, &[PartStage::In]) + ROUNDING >= self.row(r).whole,
+            Some(first) => first && all_in,
+        }
+    }
+
+    fn reaches_least(&self, r: &Retrieval, sum: f64) -> bool {
+        let row = self.row(r);
+        let need = if r.first_whole.is_some() && !row.partial { 1.0 } else { row.least };
+        sum + ROUNDING >= need
+    }
+
+    /// The share of parts refused as full or timed out. Where little was heard, or long ago, it is
+    /// measured against as many parts as make one of them the starting level. A retrieval within
+    /// its caller's share is not judged by the harm that callers beyond theirs come to: one caller's
+    /// storm would else lift the pressure of all.
+    fn pressure(&self, within_share: bool) -> f64 {
+        let read = |gauge: &crate::state::Gauge| {
+            gauge.harmed.read(self.s.now, SPAN) / gauge.all.read(self.s.now, SPAN).max(1.0 / START)
+        };
+        let within = read(&self.s.pressure_within);
+        if within_share { within } else { within.max(read(&self.s.pressure_all)) }
+    }
+
+    fn base(&mut self, within_share: bool) -> f64 {
+        let pressure = self.pressure(within_share);
+        let cutting = pressure > START;
+        if cutting != self.s.cutting {
+            self.s.cutting = cutting;
+            let word = if cutting { "light parts stay unsent" } else { "all parts are sent again" };
+            self.s.effects.push(Effect::Say(format!("pressure {pressure:.2}: {word}")));
+        }
+        1.0 + (FULL_BASE - 1.0) * ((pressure - START) / (1.0 - START)).max(0.0)
+    }
+
+    /// Rule 6, and the broker's own restraint: in any window, further pushes stay under a few plus a
+    /// share of what was taken. What was taken is counted over a window shorter by two turns, what
+    /// was pushed over one longer by two.
+    fn further_left(&mut self) -> bool {
+        let (now, slack) = (self.s.now, self.prescription.period.times(2.0));
+        let window = self.further.window;
+        while self.s.taken.front().is_some_and(|at| *at < now - window + slack) {
+            self.s.taken.pop_front();
+        }
+        while self.s.further.front().is_some_and(|f| f.0 < now - window - slack) {
+            self.s.further.pop_front();
+        }
+        let most = self.further.floor + self.further.share * self.s.taken.len() as f64;
+        (self.s.further.len() + 1) as f64 <= most
+    }
+
+    fn with_part(&mut self, id: PartId, change: impl FnOnce(&mut Part)) {
+        let Some(&(rid, at)) = self.s.parts.get(&id) else { return };
+        let Some(r) = self.s.retrievals.get_mut(&rid) else { return };
+        change(&mut r.parts[at]);
+    }
+
+    fn ask_to_be_woken(&mut self) {
+        let Some(&(at, _)) = self.s.agenda.first() else { return };
+        if self.s.woken_at.is_none_or(|woken| woken <= self.s.now || woken > at) {
+            self.s.woken_at = Some(at);
+            self.s.effects.push(Effect::Wake { after: at - self.s.now });
+        }
+    }
+}
+
+fn weight(r: &Retrieval, stages: &[PartStage]) -> f64 {
+    r.parts.iter().filter(|p| stages.contains(&p.stage)).map(|p| p.weight).sum()
+}
--- /dev/null
+++ b/crates/barleydrum/src/prescription.rs
@@ -0,0 +1,120 @@
+//! What a broker is handed when it starts: how the service is to be served.
+
+use crate::ids::{CellNo, ShardNo, ZoneNo};
+use crate::time::Tenths;
+
+/// Everything a broker is told at its start. It does not change while the broker runs.
+#[derive(Clone, Debug, Default)]
+pub struct Prescription {
+    /// How many brokers serve together.
+    pub brokers: u32,
+    pub zone: ZoneNo,
+    /// The least time between two turns.
+    pub period: Tenths,
+    pub categories: Vec<Category>,
+    pub callers: Vec<Caller>,
+    /// A retrieval beyond its caller's share earns this part of its payoff.
+    pub over_share_payoff: f64,
+    pub layout: Layout,
+    pub limits: Limits,
+    pub rules: Rules,
+    /// The roll of nodes comes only to those who follow it.
+    pub roll_on_request: bool,
+    /// What payoff that ended unserved after its goal time costs.
+    pub late_scrap_price: f64,
+}
+
+/// A kind of retrieval.
+#[derive(Clone, Debug, Default)]
+pub struct Category {
+    pub goal_time: Tenths,
+    pub cut_off: Tenths,
+    pub payoff: f64,
+    /// The part of the payoff that an answer after the goal time earns.
+    pub late_share: f64,
+    /// The part of the payoff that a partial answer earns, beside its share.
+    pub partial_share: f64,
+    /// The least weight an answer may hold.
+    pub least_share: f64,
+    /// The weight from which an answer is whole.
+    pub whole_from: f64,
+    /// Parts of a second step, asked for after the first answer; 0 for none.
+    pub second_parts: u32,
+    pub effect: EffectKind,
+    /// Numbered only: how long repeats are dropped, from the first push that may have run.
+    pub repeat_window: Tenths,
+}
+
+/// What a repeat of a part would do.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EffectKind {
+    /// May run again.
+    #[default]
+    Reissuable,
+    /// Carries a mark by which a repeat is dropped, for a time.
+    Numbered,
+    /// Must never run twice.
+    AtMostOnce,
+}
+
+/// One who shares the service with others.
+#[derive(Clone, Debug, Default)]
+pub struct Caller {
+    /// Retrievals a second, over all brokers, within its share.
+    pub quota_per_s: f64,
+}
+
+/// Which nodes hold which shard.
+#[derive(Clone, Debug, Default)]
+pub struct Layout {
+    pub cells: u32,
+    /// Cells in a row that hold a shard.
+    pub reach: u32,
+    pub shards: u32,
+    /// The most parts that share a call.
+    pub per_call: u32,
+}
+
+impl Layout {
+    /// The cells whose nodes hold a shard.
+    pub fn cells_of(&self, shard: ShardNo) -> impl Iterator<Item = CellNo> + '_ {
+        let cells = self.cells.max(1);
+        (0..self.reach.min(cells)).map(move |j| CellNo((shard.0 % cells + j) % cells))
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    /// The most pushes for one part.
+    pub most_pushes: u32,
+    /// A part may have two pushes out at once.
+    pub copies: bool,
+    pub may_withdraw: bool,
+    /// Callers are told how long to stay away, up to `longest_stay_away`.
+    pub stay_away: bool,
+    pub longest_stay_away: Tenths,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// A node starts with this share of its capacity, or more.
+    pub cold_share: f64,
+    /// It is warm no later than this.
+    pub warm_after: Tenths,
+    /// Sent more than this multiple of what it can do...
+    pub fall_multiple: f64,
+    /// ...for this long, a cold node falls over.
+    pub fall_window: Tenths,
+    /// Without a live roll, what was listed this long ago counts as told.
+    pub ask_within: Tenths,
+    pub further: Option<FurtherBudget>,
+}
+
+/// The stated budget for pushes beyond a part's first.
+#[derive(Clone, Debug, Default)]
+pub struct FurtherBudget {
+    pub floor: f64,
+    /// For each retrieval and part taken.
+    pub share: f64,
+    pub window: Tenths,
+}
--- /dev/null
+++ b/crates/wirehost/src/host.rs
@@ -0,0 +1,88 @@
+//! Hosts the brokers of one process: hands each what it heard, collects what it does.
+
+use crate::settings;
+use crate::wire::{Batch, Event, Reply};
+use barleydrum::{Broker, Input, Roll, RollEntry, RollKind, Tenths};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A broker, or the reason why it could not start.
+enum Seat {
+    Sound(Box<Broker>),
+    Broken(String),
+}
+
+#[derive(Default)]
+pub struct Host {
+    seats: BTreeMap<u16, Seat>,
+    lists: BTreeMap<u16, Arc<[RollEntry]>>,
+}
+
+impl Host {
+    /// Plays one batch. An error names what in it made no sense.
+    pub fn play(&mut self, batch: Batch) -> Result<Reply, String> {
+        let mut heard: BTreeMap<u16, Vec<Input>> = BTreeMap::new();
+        for event in batch.events {
+            match event {
+                Event::Start { broker, seed, settings } => {
+                    self.seats.insert(broker, start(&settings, seed, batch.now));
+                    heard.insert(broker, Vec::new());
+                }
+                Event::Stop { broker } => {
+                    self.seats.remove(&broker).ok_or_else(|| unknown(broker))?;
+                    heard.remove(&broker);
+                }
+                Event::List { number, entries } => _ = self.lists.insert(number, entries.into()),
+                Event::Roll { broker, number, form } => {
+                    let input = self.roll(number, form)?;
+                    self.hear(&mut heard, broker, input)?;
+                }
+                Event::Heard { broker, input } => self.hear(&mut heard, broker, input)?,
+            }
+        }
+        let mut reply = Reply::default();
+        for (broker, inputs) in heard {
+            match self.seats.get_mut(&broker) {
+                Some(Seat::Sound(seat)) => {
+                    for effect in seat.turn(batch.now, &inputs) {
+                        reply.effect(broker, &effect);
+                    }
+                }
+                Some(Seat::Broken(why)) => reply.crash(broker, why),
+                None => {}
+            }
+        }
+        Ok(reply)
+    }
+
+    fn hear(&self, heard: &mut BTreeMap<u16, Vec<Input>>, broker: u16, input: Input) -> Result<(), String> {
+        if !self.seats.contains_key(&broker) {
+            return Err(unknown(broker));
+        }
+        heard.entry(broker).or_default().push(input);
+        Ok(())
+    }
+
+    fn roll(&self, number: u16, form: u8) -> Result<Input, String> {
+        let kind = match form {
+            0 => RollKind::Changes,
+            1 => RollKind::Full,
+            2 => RollKind::Remembered,
+            3 => return Ok(Input::RollFailed),
+            other => return Err(format!("list form {other} is unknown")),
+        };
+        let entries = self.lists.get(&number).ok_or_else(|| format!("list {number} never came"))?.clone();
+        Ok(Input::Roll(Roll { kind, entries }))
+    }
+}
+
+fn start(text: &[u8], seed: u64, now: Tenths) -> Seat {
+    match settings::read(text) {
+        Ok(prescription) => Seat::Sound(Box::new(Broker::start(prescription, seed, now))),
+        Err(why) => Seat::Broken(why),
+    }
+}
+
+fn unknown(broker: u16) -> String {
+    format!("an event for broker {broker}, which is not running")
+}
--- /dev/null
+++ b/crates/wirehost/src/settings.rs
@@ -0,0 +1,164 @@
+//! The settings text, turned into the library's prescription. Decides nothing.
+
+use barleydrum::{
+    Caller, Category, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules, Tenths, ZoneNo,
+};
+use serde::Deserialize;
+
+/// Settings as they come on the wire; what is not read here is skipped.
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Text {
+    instances: u32,
+    #[serde(default)]
+    zone: u16,
+    period_ms: f64,
+    services: Vec<Service>,
+    domain: Domain,
+    #[serde(default)]
+    tenants: Vec<Tenant>,
+    #[serde(default)]
+    over_share_worth: f64,
+    limits: TextLimits,
+    rules: TextRules,
+    registry_mode: String,
+    #[serde(default)]
+    prices: Prices,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Service {
+    on_time_ms: f64,
+    deadline_ms: f64,
+    worth: f64,
+    #[serde(default)]
+    late_share: f64,
+    effect: String,
+    #[serde(default)]
+    dedup_window_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Domain {
+    cells: u32,
+    reach: u32,
+    ranges: u32,
+    #[serde(default)]
+    per_call: u32,
+    complete_from: Vec<f64>,
+    min_share: Vec<f64>,
+    #[serde(default)]
+    class_partial: Vec<f64>,
+    #[serde(default)]
+    fetch_parts: Vec<u32>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct Tenant {
+    #[serde(default)]
+    quota_rps: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct TextLimits {
+    max_attempts: u32,
+    #[serde(default)]
+    second_copies: bool,
+    #[serde(default)]
+    may_cancel: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct TextRules {
+    #[serde(default)]
+    cold_from: f64,
+    #[serde(default)]
+    warm_up_ms: f64,
+    #[serde(default)]
+    overload_factor: f64,
+    #[serde(default)]
+    overload_for_ms: f64,
+    #[serde(default)]
+    ask_within_ms: f64,
+    extra_floor: Option<f64>,
+    resend_ratio: Option<f64>,
+    budget_window_ms: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "PascalCase")]
+struct Prices {
+    #[serde(default)]
+    late_fail: f64,
+}
+
+/// Reads a settings text, or says which key is amiss.
+pub fn read(text: &[u8]) -> Result<Prescription, String> {
+    let text: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let categories = text.services.iter().enumerate().map(|(at, service)| {
+        let least = text.domain.min_share.get(at).ok_or("settings: `MinShare` is too short")?;
+        let whole = text.domain.complete_from.get(at).ok_or("settings: `CompleteFrom` is too short")?;
+        Ok(Category {
+            goal_time: Tenths::from_ms(service.on_time_ms),
+            cut_off: Tenths::from_ms(service.deadline_ms),
+            payoff: service.worth,
+            late_share: service.late_share,
+            partial_share: text.domain.class_partial.get(at).copied().unwrap_or(1.0),
+            least_share: *least,
+            whole_from: *whole,
+            second_parts: text.domain.fetch_parts.get(at).copied().unwrap_or(0),
+            effect: match service.effect.as_str() {
+                "idempotent" => EffectKind::Reissuable,
+                "deduplicated" => EffectKind::Numbered,
+                "at_most_once" => EffectKind::AtMostOnce,
+                other => return Err(format!("settings: `Effect` is `{other}`")),
+            },
+            repeat_window: Tenths::from_ms(service.dedup_window_ms),
+        })
+    });
+    let rules = &text.rules;
+    Ok(Prescription {
+        brokers: text.instances,
+        zone: ZoneNo(text.zone),
+        period: Tenths::from_ms(text.period_ms),
+        categories: categories.collect::<Result<_, String>>()?,
+        callers: text.tenants.iter().map(|t| Caller { quota_per_s: t.quota_rps }).collect(),
+        over_share_payoff: text.over_share_worth,
+        layout: Layout {
+            cells: text.domain.cells,
+            reach: text.domain.reach,
+            shards: text.domain.ranges,
+            per_call: text.domain.per_call.max(1),
+        },
+        limits: Limits {
+            most_pushes: text.limits.max_attempts,
+            copies: text.limits.second_copies,
+            may_withdraw: text.limits.may_cancel,
+            stay_away: text.limits.retry_after,
+            longest_stay_away: Tenths::from_ms(text.limits.max_retry_after_ms),
+        },
+        rules: Rules {
+            cold_share: rules.cold_from,
+            warm_after: Tenths::from_ms(rules.warm_up_ms),
+            fall_multiple: rules.overload_factor,
+            fall_window: Tenths::from_ms(rules.overload_for_ms),
+            ask_within: Tenths::from_ms(rules.ask_within_ms),
+            further: rules.budget_window_ms.map(|window| FurtherBudget {
+                floor: rules.extra_floor.unwrap_or(0.0),
+                share: rules.resend_ratio.unwrap_or(0.0),
+                window: Tenths::from_ms(window),
+            }),
+        },
+        roll_on_request: text.registry_mode == "subscribe",
+        late_scrap_price: text.prices.late_fail,
+    })
+}
