--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -529,7 +529,8 @@
         let limits = &self.prescription.limits;
         let (copies, may_withdraw) = (limits.copies, limits.may_withdraw);
         let push = &r.parts[at].pushes[no.0 as usize];
-        if r.stage == Stage::Asking && push.fate == Fate::Out && !push.withdrawn && !r.parts[at].flowing {
+        let waits = r.parts[at].stage == PartStage::Out && !r.parts[at].flowing;
+        if r.stage == Stage::Asking && waits && push.fate == Fate::Out && !push.withdrawn {
             let now = self.s.now;
             let here = self.s.nodes.get(&push.node).map_or(self.average(), |n| self.latency(n));
             let out = r.parts[at].pushes.iter().filter(|p| p.fate == Fate::Out).count();
