--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -632,7 +632,9 @@
             (_, false) => outcome.took,
             (_, true) => {
                 node.failures = (node.failures + 1).min(16);
-                outcome.took.max(average.times(f64::from(1 << node.failures)).min(longest))
+                let penalty = average.times(f64::from(1 << node.failures));
+                node.rests_until = now + penalty.min(SPAN);
+                outcome.took.max(penalty.min(longest))
             }
         };
         if outcome.end == PushEnd::Finished {
@@ -691,10 +693,14 @@
     /// even share of what it is sure to bear. It is sure to do one part at a time at the average
     /// latency, times the share that it has warmed to at the least.
     fn has_room(&self, id: &NodeId) -> bool {
+        let node = &self.s.nodes[id];
+        if node.failures > 0 && (self.s.now < node.rests_until || !node.calls.is_empty()) {
+            return false;
+        }
         if !self.is_cold(*id) {
             return true;
         }
-        let (rules, node) = (&self.prescription.rules, &self.s.nodes[id]);
+        let rules = &self.prescription.rules;
         let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
         let share = rules.cold_share + (1.0 - rules.cold_share) * age;
         let bears = rules.fall_multiple * share * rules.fall_window.over(self.average());
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -105,6 +105,8 @@
     pub heard_at: Tenths,
     /// Failures in a row.
     pub failures: u32,
+    /// After a failure it is left alone until then.
+    pub rests_until: Tenths,
     pub calls: BTreeMap<CallNo, Call>,
     /// The call of this turn, and how many parts it carries.
     pub riding: Option<(CallNo, u32)>,
