--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -32,9 +32,13 @@
 const AGAIN: f64 = 0.05;
 /// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
 const OWN_FURTHER: f64 = 0.25;
-/// Taking on is thinned from this share of the goal time on, and by this much at the most.
-const THIN_FROM: f64 = 0.5;
-const THIN_MOST: f64 = 0.9;
+/// Room for parts out grows and shrinks by this share a part, so that `START` of the parts take
+/// longer than `SLOW` of the goal time; the least payoffs and callers beyond their share get these
+/// shares of it.
+const ROOM_STEP: f64 = 0.1;
+const SLOW: f64 = 0.5;
+const ROOM_FOR_ALL: f64 = 0.75;
+const ROOM_BEYOND: f64 = 0.5;
 /// Answers leave before the goal time by two turns and this share of it.
 const GOAL_MARGIN: f64 = 0.02;
 /// The first wait before the roll is asked for again, as a share of the time it may be silent.
@@ -80,7 +84,7 @@
 /// act. The first row that fits is taken; where none fits, nothing happens.
 #[rustfmt::skip]
 const TABLE: &[Row] = &[
-    Row(Stage::Taken,    Signal::Ready,      Broker::swamped,      Stage::Over,     Broker::give_up),
+    Row(Stage::Taken,    Signal::Ready,      Broker::no_room,      Stage::Over,     Broker::give_up),
     Row(Stage::Taken,    Signal::Ready,      Broker::always,       Stage::Asking,   Broker::ask),
     Row(Stage::Asking,   Signal::PartIn,     Broker::complete,     Stage::Answered, Broker::answer),
     Row(Stage::Asking,   Signal::PartLost,   Broker::complete,     Stage::Answered, Broker::answer),
@@ -159,6 +163,7 @@
         if p.roll_on_request {
             s.agenda.insert((now, Due::FollowRoll));
         }
+        s.room = f64::from(p.limits.most_open) * SLOW;
         let rows = rows.collect();
         let further = p.rules.further.clone().unwrap_or(own);
         Broker { rows, further, rng: fastrand::Rng::with_seed(seed), s, prescription }
@@ -259,66 +264,78 @@
         self.row(r).two_steps && r.first_whole.is_none()
     }
 
-    /// Guards against queues that outgrow the goal time, whatever fills them: taking on is thinned
-    /// as the latency that the retrieval must expect nears its goal time, first what pays least and
-    /// callers beyond their share. It never turns all away, so that latency goes on being heard.
-    /// Harm: a retrieval is turned away that a lucky replica would have answered in time.
-    fn swamped(&mut self, r: &Retrieval) -> bool {
+    /// Guards against queues that outgrow the goal time, whatever fills them: a retrieval is turned
+    /// away when even its least share would pass the room. What pays most, within its caller's
+    /// share, may use all of the room. With nothing out, one is always taken, so that the room can
+    /// grow again. What is turned away counts as refused, so pressure rises and the cut sets in.
+    /// Harm: one that a lucky replica would have answered in time is turned away.
+    fn no_room(&mut self, r: &Retrieval) -> bool {
         let row = self.row(r);
-        let (least, value) = (row.least, row.value);
-        let mut waits: Vec<(Tenths, f64)> =
-            r.parts.iter().filter_map(|p| Some((self.wait_for(p)?, p.weight))).collect();
-        waits.sort_by_key(|wait| wait.0);
-        let all: f64 = waits.iter().map(|w| w.1).sum();
-        let mut sum = 0.0;
-        let slowest = waits.iter().find(|w| {
-            sum += w.1;
-            sum + ROUNDING >= least * all
-        });
-        let Some((wait, _)) = slowest else { return false };
-        let from = THIN_FROM * (1.0 + value / 2.0) * if r.within_share { 1.0 } else { 0.5 };
-        let over = (wait.over(r.goal_at - self.s.now) - from) / (1.0 - from);
-        self.rng.f64() < over.min(THIN_MOST)
+        let share = ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * row.value;
+        let room = self.s.room * share * if r.within_share { 1.0 } else { ROOM_BEYOND };
+        let need = self.plan(r, true).len();
+        let out = self.s.tickets.len();
+        let refused = out > 0 && (out + need) as f64 > room;
+        if refused {
+            self.count_harm(r.within_share, need as f64, need as f64);
+        }
+        refused
     }
 
     // ---- acts
 
     fn nothing(&mut self, _: &mut Retrieval) {}
 
+    /// Sends what the design's cut leaves, or the least share where there is no room for more.
+    fn ask(&mut self, r: &mut Retrieval) {
+        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
+        let mut plan = self.plan(r, false);
+        let full = (self.s.tickets.len() + plan.len()) as f64 > self.s.room;
+        if full {
+            let least = self.plan(r, true).len();
+            let room = (self.s.room as usize).saturating_sub(self.s.tickets.len());
+            plan.truncate(room.max(least));
+        }
+        for (at, part) in r.parts.iter_mut().enumerate() {
+            self.s.parts.insert(part.id, (r.id, at));
+        }
+        for at in plan {
+            r.parts[at].stage = PartStage::Wanted;
+            self.s.wanted.push(r.parts[at].id);
+        }
+    }
+
     /// The design's ordinary path: parts by told weight, score = weight x B^-rank, none sent that
-    /// scores under `CUT`, and never less than the least share.
+    /// scores under `CUT`, and never less than the least share; with `least`, no more than that.
     /// Parts of even weight share a rank (the count of heavier ones): else many small even parts
     /// would collapse to a few as soon as B passes 1.
     /// A part whose every holder is too slow for the goal time counts as cut: else a hot or dead
     /// shard's heavy part keeps its rank and is sent for nothing while light ones are trimmed.
-    fn ask(&mut self, r: &mut Retrieval) {
+    fn plan(&mut self, r: &Retrieval, least_only: bool) -> Vec<usize> {
         let base = self.base(r.within_share);
         let (least, partial) = (self.row(r).least, self.row(r).partial);
         let life = r.goal_at - self.s.now;
-        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
-        let mut order: Vec<(bool, usize)> = Vec::new();
+        let mut order: Vec<usize> = (0..r.parts.len()).collect();
+        order.sort_by(|a, b| r.parts[*b].weight.total_cmp(&r.parts[*a].weight).then(a.cmp(b)));
         let (mut rank, mut level) = (0, f64::INFINITY);
-        for (at, part) in r.parts.iter().enumerate() {
+        let mut scored: Vec<(bool, usize, usize)> = Vec::new();
+        for (place, at) in order.into_iter().enumerate() {
+            let part = &r.parts[at];
             if part.weight + ROUNDING < level {
-                (rank, level) = (at, part.weight);
+                (rank, level) = (place, part.weight);
             }
             let hopeless = self.wait_for(part).is_some_and(|wait| wait > life);
-            let cut = partial && base > 1.0 && part.weight * base.powi(-(rank as i32)) < CUT;
-            order.push((partial && (cut || hopeless), at));
+            let cut = least_only || hopeless || base > 1.0 && part.weight * base.powi(-(rank as i32)) < CUT;
+            scored.push((partial && (cut || hopeless), place, at));
         }
-        order.sort();
+        scored.sort();
         let mut sent = 0.0;
-        for (cut, at) in order {
-            let part = &mut r.parts[at];
-            if !cut || sent + ROUNDING < least {
-                sent += part.weight;
-                part.stage = PartStage::Wanted;
-                self.s.wanted.push(part.id);
-            }
-        }
-        for (at, part) in r.parts.iter().enumerate() {
-            self.s.parts.insert(part.id, (r.id, at));
-        }
+        scored.retain(|(cut, _, at)| {
+            let keep = !cut || sent + ROUNDING < least;
+            sent += if keep { r.parts[*at].weight } else { 0.0 };
+            keep
+        });
+        scored.into_iter().map(|(_, _, at)| at).collect()
     }
 
     /// Sends the heaviest unsent parts that make up for what was lost.
@@ -462,7 +479,7 @@
         let (id, within_share) = (part.id, r.within_share);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
-        self.s.tickets.insert((id, no), Ticket { node, call, within_share });
+        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal });
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(goal), Due::Look(id, no)));
@@ -612,11 +629,13 @@
         let (now, average) = (self.s.now, self.average());
         let longest = self.rows.iter().map(|row| row.goal).max().unwrap_or(average);
         if end.fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
-            let harm = f64::from(u8::from(end.harm));
-            let gauges = [&mut self.s.pressure_all, &mut self.s.pressure_within];
-            for gauge in gauges.into_iter().take(1 + usize::from(ticket.within_share)) {
-                gauge.harmed.add(now, SPAN, harm);
-                gauge.all.add(now, SPAN, 1.0);
+            self.count_harm(ticket.within_share, f64::from(u8::from(end.harm)), 1.0);
+            let slow = end.harm || outcome.took > ticket.goal.times(SLOW);
+            let most = f64::from(self.prescription.limits.most_open.max(1));
+            if slow {
+                self.s.room = (self.s.room * (1.0 - ROOM_STEP * (1.0 - START))).max(1.0);
+            } else if self.s.tickets.len() as f64 >= self.s.room * SLOW {
+                self.s.room = (self.s.room * (1.0 + ROOM_STEP * START)).min(most);
             }
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
@@ -649,6 +668,14 @@
         }
     }
 
+    fn count_harm(&mut self, within_share: bool, harmed: f64, all: f64) {
+        let gauges = [&mut self.s.pressure_all, &mut self.s.pressure_within];
+        for gauge in gauges.into_iter().take(1 + usize::from(within_share)) {
+            gauge.harmed.add(self.s.now, SPAN, harmed);
+            gauge.all.add(self.s.now, SPAN, all);
+        }
+    }
+
     // ---- nodes
 
     fn holders<'a>(&'a self, part: &Part) -> impl Iterator<Item = NodeId> + 'a {
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -85,6 +85,8 @@
 
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
+    /// The most retrievals and parts held at once.
+    pub most_open: u32,
     /// The most pushes for one part.
     pub most_pushes: u32,
     /// A part may have two pushes out at once.
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -35,6 +35,8 @@
     pub node: NodeId,
     pub call: CallNo,
     pub within_share: bool,
+    /// The goal time of its category.
+    pub goal: Tenths,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -174,6 +176,8 @@
     pub pressure_within: Gauge,
     pub pressure_all: Gauge,
     pub cutting: bool,
+    /// How many parts this broker may have out.
+    pub room: f64,
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -66,6 +66,7 @@
 #[serde(rename_all = "PascalCase")]
 struct TextLimits {
     max_attempts: u32,
+    max_open: u32,
     #[serde(default)]
     second_copies: bool,
     #[serde(default)]
@@ -140,6 +141,7 @@
             per_call: text.domain.per_call.max(1),
         },
         limits: Limits {
+            most_open: text.limits.max_open,
             most_pushes: text.limits.max_attempts,
             copies: text.limits.second_copies,
             may_withdraw: text.limits.may_cancel,
