--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -36,7 +36,7 @@
 /// longer than `SLOW` of the goal time; the least payoffs and callers beyond their share get these
 /// shares of it.
 const ROOM_STEP: f64 = 0.1;
-const SLOW: f64 = 0.5;
+const SLOW: f64 = 0.75;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
 /// Answers leave before the goal time by two turns and this share of it.
@@ -443,6 +443,7 @@
 
     /// Chooses a node for each wanted part; pushes of one turn to one node share its call.
     fn send_wanted(&mut self) {
+        self.s.crowded = (self.s.tickets.len() + self.s.wanted.len()) as f64 >= self.s.room * SLOW;
         for id in std::mem::take(&mut self.s.wanted) {
             let Some(&(rid, at)) = self.s.parts.get(&id) else { continue };
             let Some(mut r) = self.s.retrievals.remove(&rid) else { continue };
@@ -476,10 +477,11 @@
             self.s.further.push_back((now, part.id, no));
         }
         let call = self.ride(node);
+        let crowded = self.s.crowded;
         let (id, within_share) = (part.id, r.within_share);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
-        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal });
+        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, crowded });
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(goal), Due::Look(id, no)));
@@ -634,7 +636,7 @@
             let most = f64::from(self.prescription.limits.most_open.max(1));
             if slow {
                 self.s.room = (self.s.room * (1.0 - ROOM_STEP * (1.0 - START))).max(1.0);
-            } else if self.s.tickets.len() as f64 >= self.s.room * SLOW {
+            } else if ticket.crowded {
                 self.s.room = (self.s.room * (1.0 + ROOM_STEP * START)).min(most);
             }
         }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -37,6 +37,8 @@
     pub within_share: bool,
     /// The goal time of its category.
     pub goal: Tenths,
+    /// Sent in a turn that used much of the room.
+    pub crowded: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -178,6 +180,7 @@
     pub cutting: bool,
     /// How many parts this broker may have out.
     pub room: f64,
+    pub crowded: bool,
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
