--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -32,10 +32,11 @@
 const AGAIN: f64 = 0.05;
 /// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
 const OWN_FURTHER: f64 = 0.25;
-/// Room for parts out grows and shrinks by this share a part, so that `START` of the parts take
-/// longer than `SLOW` of the goal time; the least payoffs and callers beyond their share get these
-/// shares of it.
-const ROOM_STEP: f64 = 0.1;
+/// Room for parts out grows by this share with each part that comes back in good time, and is cut by
+/// this share when one takes longer than `SLOW` of the goal time, once for all that were out then;
+/// the least payoffs and callers beyond their share get the two shares below of it.
+const ROOM_GROW: f64 = 0.01;
+const ROOM_CUT: f64 = 0.2;
 const SLOW: f64 = 0.75;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
@@ -632,12 +633,15 @@
         let longest = self.rows.iter().map(|row| row.goal).max().unwrap_or(average);
         if end.fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
             self.count_harm(ticket.within_share, f64::from(u8::from(end.harm)), 1.0);
-            let slow = end.harm || outcome.took > ticket.goal.times(SLOW);
+            let sent = now - outcome.took;
             let most = f64::from(self.prescription.limits.most_open.max(1));
-            if slow {
-                self.s.room = (self.s.room * (1.0 - ROOM_STEP * (1.0 - START))).max(1.0);
+            if end.harm || outcome.took > ticket.goal.times(SLOW) {
+                if sent > self.s.room_cut_at {
+                    self.s.room = (self.s.room * (1.0 - ROOM_CUT)).max(1.0);
+                    self.s.room_cut_at = now;
+                }
             } else if ticket.crowded {
-                self.s.room = (self.s.room * (1.0 + ROOM_STEP * START)).min(most);
+                self.s.room = (self.s.room * (1.0 + ROOM_GROW)).min(most);
             }
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -180,6 +180,7 @@
     pub cutting: bool,
     /// How many parts this broker may have out.
     pub room: f64,
+    pub room_cut_at: Tenths,
     pub crowded: bool,
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
