--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -37,7 +37,7 @@
 /// the least payoffs and callers beyond their share get the two shares below of it.
 const ROOM_GROW: f64 = 0.01;
 const ROOM_CUT: f64 = 0.2;
-const SLOW: f64 = 0.75;
+const SLOW: f64 = 0.5;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
 /// Answers leave before the goal time by two turns and this share of it.
