--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -32,12 +32,12 @@
 const AGAIN: f64 = 0.05;
 /// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
 const OWN_FURTHER: f64 = 0.25;
-/// Room for parts out grows by this share with each part that comes back in good time, and is cut by
-/// this share when one takes longer than `SLOW` of the goal time, once for all that were out then;
-/// the least payoffs and callers beyond their share get the two shares below of it.
-const ROOM_GROW: f64 = 0.01;
-const ROOM_CUT: f64 = 0.2;
-const SLOW: f64 = 0.5;
+/// Room for parts out follows the latency of parts: it aims at this share of the goal time, grows at
+/// most by this factor in the time of one part, and only where it was used to this share; the least
+/// payoffs and callers beyond their share get the two shares below of it.
+const ROOM_TARGET: f64 = 0.33;
+const ROOM_GROW: f64 = 1.5;
+const CROWDED: f64 = 0.5;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
 /// Answers leave before the goal time by two turns and this share of it.
@@ -164,7 +164,7 @@
         if p.roll_on_request {
             s.agenda.insert((now, Due::FollowRoll));
         }
-        s.room = f64::from(p.limits.most_open) * SLOW;
+        s.room = f64::from(p.limits.most_open) * CROWDED;
         let rows = rows.collect();
         let further = p.rules.further.clone().unwrap_or(own);
         Broker { rows, further, rng: fastrand::Rng::with_seed(seed), s, prescription }
@@ -444,7 +444,7 @@
 
     /// Chooses a node for each wanted part; pushes of one turn to one node share its call.
     fn send_wanted(&mut self) {
-        self.s.crowded = (self.s.tickets.len() + self.s.wanted.len()) as f64 >= self.s.room * SLOW;
+        self.s.out_at_turn = (self.s.tickets.len() + self.s.wanted.len()) as f64;
         for id in std::mem::take(&mut self.s.wanted) {
             let Some(&(rid, at)) = self.s.parts.get(&id) else { continue };
             let Some(mut r) = self.s.retrievals.remove(&rid) else { continue };
@@ -478,11 +478,11 @@
             self.s.further.push_back((now, part.id, no));
         }
         let call = self.ride(node);
-        let crowded = self.s.crowded;
+        let out = self.s.out_at_turn;
         let (id, within_share) = (part.id, r.within_share);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
-        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, crowded });
+        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out });
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(goal), Due::Look(id, no)));
@@ -633,15 +633,14 @@
         let longest = self.rows.iter().map(|row| row.goal).max().unwrap_or(average);
         if end.fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
             self.count_harm(ticket.within_share, f64::from(u8::from(end.harm)), 1.0);
-            let sent = now - outcome.took;
-            let most = f64::from(self.prescription.limits.most_open.max(1));
-            if end.harm || outcome.took > ticket.goal.times(SLOW) {
-                if sent > self.s.room_cut_at {
-                    self.s.room = (self.s.room * (1.0 - ROOM_CUT)).max(1.0);
-                    self.s.room_cut_at = now;
-                }
-            } else if ticket.crowded {
-                self.s.room = (self.s.room * (1.0 + ROOM_GROW)).min(most);
+            // Little's law: with `out` parts out this one took so long, so at the target latency
+            // there is room for fewer, or for more.
+            let ratio = ticket.goal.times(ROOM_TARGET).over(outcome.took).min(ROOM_GROW);
+            let fits = if ratio < 1.0 { ticket.out.min(self.s.room) * ratio } else { self.s.room * ratio };
+            if ratio < 1.0 || ticket.out >= self.s.room * CROWDED {
+                let weight = 1.0 / self.s.room.max(1.0 / START);
+                self.s.room += (fits - self.s.room) * weight;
+                self.s.room = self.s.room.clamp(1.0, f64::from(self.prescription.limits.most_open.max(1)));
             }
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -37,8 +37,8 @@
     pub within_share: bool,
     /// The goal time of its category.
     pub goal: Tenths,
-    /// Sent in a turn that used much of the room.
-    pub crowded: bool,
+    /// Parts out after the turn in which it was sent.
+    pub out: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,8 +180,7 @@
     pub cutting: bool,
     /// How many parts this broker may have out.
     pub room: f64,
-    pub room_cut_at: Tenths,
-    pub crowded: bool,
+    pub out_at_turn: f64,
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
