--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -38,6 +38,8 @@
 const ROOM_TARGET: f64 = 0.33;
 const ROOM_GROW: f64 = 1.5;
 const CROWDED: f64 = 0.5;
+/// How long a push that was cut off stays on the books, in the time it was out.
+const LINGER: f64 = 1.0;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
 /// Answers leave before the goal time by two turns and this share of it.
@@ -208,6 +210,7 @@
             Due::CutOff(id) => self.signal(id, Signal::CutOffNear),
             Due::Look(part, push) => self.look_after(part, push),
             Due::Again(part) => self.s.wanted.push(part),
+            Due::Release(part, push) => self.release(part, push),
             Due::FollowRoll => self.follow_roll(),
         }
     }
@@ -590,8 +593,13 @@
 
     fn push_ended(&mut self, outcome: &PushOutcome) {
         let Some((_, end)) = ENDS.iter().find(|(end, _)| *end == outcome.end) else { return };
-        if let Some(ticket) = self.s.tickets.remove(&(outcome.part, outcome.push)) {
+        if let Some(ticket) = self.s.tickets.get(&(outcome.part, outcome.push)).cloned() {
             self.learn(&ticket, outcome, end);
+            // A time-out or a withdrawal stops nothing that a node has begun, or may begin: the push
+            // stays on the books as long again.
+            let lingers = matches!(outcome.end, PushEnd::TimedOut | PushEnd::Withdrawn);
+            let after = if lingers { outcome.took.times(LINGER) } else { Tenths::ZERO };
+            self.s.agenda.insert((self.s.now + after, Due::Release(outcome.part, outcome.push)));
         }
         if end.fate == Fate::Void {
             self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
@@ -644,12 +652,6 @@
             }
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
-        if let Some(call) = node.calls.get_mut(&ticket.call) {
-            call.parts_out -= 1;
-            if call.parts_out == 0 {
-                node.calls.remove(&ticket.call);
-            }
-        }
         let sample = match (outcome.end, end.blame) {
             (PushEnd::NotSent, _) => return,
             (PushEnd::Withdrawn, _) if node.latency.is_some_and(|l| outcome.took < l) => return,
@@ -673,6 +675,17 @@
         }
     }
 
+    fn release(&mut self, part: PartId, push: PushNo) {
+        let Some(ticket) = self.s.tickets.remove(&(part, push)) else { return };
+        let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
+        if let Some(call) = node.calls.get_mut(&ticket.call) {
+            call.parts_out -= 1;
+            if call.parts_out == 0 {
+                node.calls.remove(&ticket.call);
+            }
+        }
+    }
+
     fn count_harm(&mut self, within_share: bool, harmed: f64, all: f64) {
         let gauges = [&mut self.s.pressure_all, &mut self.s.pressure_within];
         for gauge in gauges.into_iter().take(1 + usize::from(within_share)) {
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -152,6 +152,8 @@
     Look(PartId, PushNo),
     /// A waiting part tries again.
     Again(PartId),
+    /// A push leaves the books.
+    Release(PartId, PushNo),
     FollowRoll,
 }
 
