--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -657,7 +657,11 @@
             (PushEnd::Withdrawn, _) if node.latency.is_some_and(|l| outcome.took < l) => return,
             (_, false) => outcome.took,
             (_, true) => {
-                node.failures = (node.failures + 1).min(16);
+                // Those out together fail together: one failure in a row, not many.
+                if now - outcome.took >= node.failed_at {
+                    node.failures = (node.failures + 1).min(16);
+                    node.failed_at = now;
+                }
                 let penalty = average.times(f64::from(1 << node.failures));
                 node.rests_until = now + penalty.min(SPAN);
                 outcome.took.max(penalty.min(longest))
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -109,6 +109,7 @@
     pub heard_at: Tenths,
     /// Failures in a row.
     pub failures: u32,
+    pub failed_at: Tenths,
     /// After a failure it is left alone until then.
     pub rests_until: Tenths,
     pub calls: BTreeMap<CallNo, Call>,
