A retrieval whose least share no holder can bring in goal time is turned away at once

Cause: whole retrievals with a shard whose holders were all slow were taken, and spent work on the rest.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -279,7 +279,10 @@
         let room = self.s.room * share * if r.within_share { 1.0 } else { ROOM_BEYOND };
         let need = self.plan(r, true).len();
         let out = self.s.tickets.len();
-        let refused = out > 0 && (out + need) as f64 > room;
+        let life = r.goal_at - self.s.now;
+        let hopeless = |p: &&Part| self.wait_for(p).is_some_and(|wait| wait > life);
+        let lost: f64 = r.parts.iter().filter(hopeless).map(|p| p.weight).sum();
+        let refused = out > 0 && ((out + need) as f64 > room || !self.reaches_least(r, 1.0 - lost));
         if refused {
             self.count_harm(r.within_share, need as f64, need as f64);
         }
