Cold nodes are budgeted by the briskest average latency seen

Cause: under load the present average made a cold node's budget so small that its partner was jammed.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -176,6 +176,7 @@
     pub fn turn(&mut self, now: Tenths, inputs: &[Input]) -> Vec<Effect> {
         self.s.now = now;
         self.s.average = self.average_latency();
+        self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
         for input in inputs {
             self.hear(input);
         }
@@ -733,7 +734,7 @@
     fn average_latency(&self) -> Option<Tenths> {
         let ready = self.s.nodes.values().filter(|n| n.standing == Standing::Ready);
         let heard: Vec<i64> = ready.filter_map(|n| n.latency).map(|l| l.0).collect();
-        (!heard.is_empty()).then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
+        (heard.len() * 2 > self.s.nodes.len()).then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
     }
 
     fn is_cold(&self, id: NodeId) -> bool {
@@ -755,7 +756,8 @@
         let rules = &self.prescription.rules;
         let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
         let share = rules.cold_share + (1.0 - rules.cold_share) * age;
-        let bears = rules.fall_multiple * share * rules.fall_window.over(self.average());
+        let bears =
+            rules.fall_multiple * share * rules.fall_window.over(self.s.briskest.unwrap_or(self.average()));
         let mine = bears / f64::from(self.prescription.brokers.max(1));
         // Under one push a window: the window is taken longer.
         let window = rules.fall_window.times(1.0 / mine.clamp(0.001, 1.0));
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -178,6 +178,8 @@
     pub next_call: CallNo,
     /// Smoothed latency over the nodes heard of.
     pub average: Option<Tenths>,
+    /// The lowest it has been.
+    pub briskest: Option<Tenths>,
     pub pressure_within: Gauge,
     pub pressure_all: Gauge,
     pub cutting: bool,
