--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -38,8 +38,6 @@
 const ROOM_TARGET: f64 = 0.33;
 const ROOM_GROW: f64 = 1.5;
 const CROWDED: f64 = 0.5;
-/// How long a push that was cut off stays on the books, in the time it was out.
-const LINGER: f64 = 1.0;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
 /// Answers leave before the goal time by two turns and this share of it.
@@ -211,7 +209,6 @@
             Due::CutOff(id) => self.signal(id, Signal::CutOffNear),
             Due::Look(part, push) => self.look_after(part, push),
             Due::Again(part) => self.s.wanted.push(part),
-            Due::Release(part, push) => self.release(part, push),
             Due::FollowRoll => self.follow_roll(),
         }
     }
@@ -559,9 +556,11 @@
         let waits = r.parts[at].stage == PartStage::Out && !r.parts[at].flowing;
         if r.stage == Stage::Asking && waits && push.fate == Fate::Out && !push.withdrawn {
             let now = self.s.now;
-            let here = self.s.nodes.get(&push.node).map_or(self.average(), |n| self.latency(n));
+            let (sent, node) = (push.sent, self.s.nodes.get(&push.node));
+            let silent = node.is_none_or(|n| n.heard_at <= sent);
+            let here = node.map_or(self.average(), |n| self.latency(n));
             let out = r.parts[at].pushes.iter().filter(|p| p.fate == Fate::Out).count();
-            let again = out == 1 && self.may_push_again(&r, at, true);
+            let again = silent && out == 1 && self.may_push_again(&r, at, true);
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| {
                 there.times(WORTH_MOVING) < here && now + there < r.goal_at && self.further_left()
@@ -599,11 +598,7 @@
         let Some((_, end)) = ENDS.iter().find(|(end, _)| *end == outcome.end) else { return };
         if let Some(ticket) = self.s.tickets.get(&(outcome.part, outcome.push)).cloned() {
             self.learn(&ticket, outcome, end);
-            // A time-out or a withdrawal stops nothing that a node has begun, or may begin: the push
-            // stays on the books as long again.
-            let lingers = matches!(outcome.end, PushEnd::TimedOut | PushEnd::Withdrawn);
-            let after = if lingers { outcome.took.times(LINGER) } else { Tenths::ZERO };
-            self.s.agenda.insert((self.s.now + after, Due::Release(outcome.part, outcome.push)));
+            self.release(outcome.part, outcome.push);
         }
         if end.fate == Fate::Void {
             self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
@@ -667,7 +662,6 @@
                     node.failed_at = now;
                 }
                 let penalty = average.times(f64::from(1 << node.failures));
-                node.rests_until = now + penalty.min(SPAN);
                 outcome.took.max(penalty.min(longest))
             }
         };
@@ -747,7 +741,7 @@
     /// latency, times the share that it has warmed to at the least.
     fn has_room(&self, id: &NodeId) -> bool {
         let node = &self.s.nodes[id];
-        if node.failures > 0 && (self.s.now < node.rests_until || !node.calls.is_empty()) {
+        if node.failures > 0 && !node.calls.is_empty() {
             return false;
         }
         if !self.is_cold(*id) {
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -110,8 +110,6 @@
     /// Failures in a row.
     pub failures: u32,
     pub failed_at: Tenths,
-    /// After a failure it is left alone until then.
-    pub rests_until: Tenths,
     pub calls: BTreeMap<CallNo, Call>,
     /// The call of this turn, and how many parts it carries.
     pub riding: Option<(CallNo, u32)>,
@@ -153,8 +151,6 @@
     Look(PartId, PushNo),
     /// A waiting part tries again.
     Again(PartId),
-    /// A push leaves the books.
-    Release(PartId, PushNo),
     FollowRoll,
 }
 
