--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -54,7 +54,6 @@
     late_pays: bool,
     least: f64,
     whole: f64,
-    partial: bool,
     two_steps: bool,
     effect: EffectKind,
     repeat_window: Tenths,
@@ -79,56 +78,55 @@
 type Guard = fn(&mut Broker, &Retrieval) -> bool;
 type Act = fn(&mut Broker, &mut Retrieval);
 
-struct Row(Stage, Signal, Guard, Stage, Act);
+struct Row(&'static [Stage], Signal, Guard, Stage, Act);
+
+const TAKEN: &[Stage] = &[Stage::Taken];
+const ASKING: &[Stage] = &[Stage::Asking];
+const OVERDUE: &[Stage] = &[Stage::Overdue];
+const SAID: &[Stage] = &[Stage::Answered];
+const BETWEEN: &[Stage] = &[Stage::Between];
+const ANY: &[Stage] = &[Stage::Taken, Stage::Asking, Stage::Overdue, Stage::Between];
 
 /// The life of a retrieval: at a stage, on a signal, if the guard holds, go to the next stage and
 /// act. The first row that fits is taken; where none fits, nothing happens.
 #[rustfmt::skip]
 const TABLE: &[Row] = &[
-    Row(Stage::Taken,    Signal::Ready,      Broker::no_room,      Stage::Over,     Broker::give_up),
-    Row(Stage::Taken,    Signal::Ready,      Broker::always,       Stage::Asking,   Broker::ask),
-    Row(Stage::Asking,   Signal::PartIn,     Broker::complete,     Stage::Answered, Broker::answer),
-    Row(Stage::Asking,   Signal::PartLost,   Broker::complete,     Stage::Answered, Broker::answer),
-    Row(Stage::Asking,   Signal::PartLost,   Broker::can_mend,     Stage::Asking,   Broker::mend),
-    Row(Stage::Asking,   Signal::PartLost,   Broker::beyond_hope,  Stage::Over,     Broker::give_up),
-    Row(Stage::Asking,   Signal::GoalNear,   Broker::has_least,    Stage::Answered, Broker::answer),
-    Row(Stage::Asking,   Signal::GoalNear,   Broker::late_is_worth, Stage::Overdue, Broker::stop_asking),
-    Row(Stage::Asking,   Signal::GoalNear,   Broker::always,       Stage::Over,     Broker::give_up),
-    Row(Stage::Overdue,  Signal::PartIn,     Broker::has_least,    Stage::Answered, Broker::answer),
-    Row(Stage::Overdue,  Signal::PartLost,   Broker::beyond_hope,  Stage::Over,     Broker::give_up),
-    Row(Stage::Answered, Signal::Said,       Broker::leads_on,     Stage::Between,  Broker::clear_parts),
-    Row(Stage::Answered, Signal::Said,       Broker::always,       Stage::Over,     Broker::nothing),
-    Row(Stage::Between,  Signal::Ready,      Broker::always,       Stage::Asking,   Broker::ask),
-    Row(Stage::Taken,    Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
-    Row(Stage::Asking,   Signal::CutOffNear, Broker::has_least,    Stage::Answered, Broker::answer),
-    Row(Stage::Asking,   Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
-    Row(Stage::Overdue,  Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
-    Row(Stage::Between,  Signal::CutOffNear, Broker::always,       Stage::Over,     Broker::give_up),
-    Row(Stage::Taken,    Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
-    Row(Stage::Asking,   Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
-    Row(Stage::Overdue,  Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
-    Row(Stage::Between,  Signal::CallerLeft, Broker::always,       Stage::Over,     Broker::nothing),
+    Row(TAKEN,   Signal::Ready,      Broker::no_room,       Stage::Over,     Broker::give_up),
+    Row(TAKEN,   Signal::Ready,      Broker::always,        Stage::Asking,   Broker::ask),
+    Row(BETWEEN, Signal::Ready,      Broker::always,        Stage::Asking,   Broker::ask),
+    Row(ASKING,  Signal::PartIn,     Broker::complete,      Stage::Answered, Broker::answer),
+    Row(ASKING,  Signal::PartLost,   Broker::complete,      Stage::Answered, Broker::answer),
+    Row(ASKING,  Signal::PartLost,   Broker::can_mend,      Stage::Asking,   Broker::mend),
+    Row(ASKING,  Signal::PartLost,   Broker::beyond_hope,   Stage::Over,     Broker::give_up),
+    Row(ASKING,  Signal::GoalNear,   Broker::has_least,     Stage::Answered, Broker::answer),
+    Row(ASKING,  Signal::GoalNear,   Broker::late_is_worth, Stage::Overdue,  Broker::stop_asking),
+    Row(ASKING,  Signal::GoalNear,   Broker::always,        Stage::Over,     Broker::give_up),
+    Row(OVERDUE, Signal::PartIn,     Broker::has_least,     Stage::Answered, Broker::answer),
+    Row(OVERDUE, Signal::PartLost,   Broker::beyond_hope,   Stage::Over,     Broker::give_up),
+    Row(SAID,    Signal::Said,       Broker::leads_on,      Stage::Between,  Broker::clear_parts),
+    Row(SAID,    Signal::Said,       Broker::always,        Stage::Over,     Broker::nothing),
+    Row(ANY,     Signal::CutOffNear, Broker::has_least,     Stage::Answered, Broker::answer),
+    Row(ANY,     Signal::CutOffNear, Broker::always,        Stage::Over,     Broker::give_up),
+    Row(ANY,     Signal::CallerLeft, Broker::always,        Stage::Over,     Broker::nothing),
 ];
 
 /// What a push's end tells: what became of the effect, whether it is harm that counts as pressure,
 /// whether the node is to blame, and whether its process looks down.
-struct End {
-    fate: Fate,
-    harm: bool,
-    blame: bool,
-    down: bool,
-}
+struct End(PushEnd, Fate, Harm, Blame, Down);
+type Harm = bool;
+type Blame = bool;
+type Down = bool;
 
 #[rustfmt::skip]
-const ENDS: &[(PushEnd, End)] = &[
-    (PushEnd::Finished,     End { fate: Fate::MayHaveRun, harm: false, blame: false, down: false }),
-    (PushEnd::Errored,      End { fate: Fate::MayHaveRun, harm: false, blame: true,  down: false }),
-    (PushEnd::Full,         End { fate: Fate::NeverRan,   harm: true,  blame: true,  down: false }),
-    (PushEnd::TimedOut,     End { fate: Fate::MayHaveRun, harm: true,  blame: true,  down: false }),
-    (PushEnd::NoConnection, End { fate: Fate::NeverRan,   harm: false, blame: true,  down: true }),
-    (PushEnd::Dropped,      End { fate: Fate::MayHaveRun, harm: false, blame: true,  down: true }),
-    (PushEnd::Withdrawn,    End { fate: Fate::MayHaveRun, harm: false, blame: false, down: false }),
-    (PushEnd::NotSent,      End { fate: Fate::Void,       harm: false, blame: false, down: false }),
+const ENDS: &[End] = &[
+    End(PushEnd::Finished,     Fate::MayHaveRun, false, false, false),
+    End(PushEnd::Errored,      Fate::MayHaveRun, false, true,  false),
+    End(PushEnd::Full,         Fate::NeverRan,   true,  true,  false),
+    End(PushEnd::TimedOut,     Fate::MayHaveRun, true,  true,  false),
+    End(PushEnd::NoConnection, Fate::NeverRan,   false, true,  true),
+    End(PushEnd::Dropped,      Fate::MayHaveRun, false, true,  true),
+    End(PushEnd::Withdrawn,    Fate::MayHaveRun, false, false, false),
+    End(PushEnd::NotSent,      Fate::Void,       false, false, false),
 ];
 
 /// Decides for one broker, from nothing but what that broker was told.
@@ -151,7 +149,6 @@
             late_pays: c.late_share > p.late_scrap_price,
             least: c.least_share.min(c.whole_from),
             whole: c.whole_from,
-            partial: c.least_share < c.whole_from,
             two_steps: c.second_parts > 0,
             effect: c.effect,
             repeat_window: c.repeat_window,
@@ -175,6 +172,7 @@
         self.s.now = now;
         self.s.average = self.average_latency();
         self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
+        self.close_books();
         for input in inputs {
             self.hear(input);
         }
@@ -183,6 +181,7 @@
             self.come_due(due);
         }
         for id in std::mem::take(&mut self.s.fresh) {
+            self.rank_parts(id);
             self.signal(id, Signal::Ready);
         }
         self.send_wanted();
@@ -196,7 +195,7 @@
             Input::RollFailed => self.roll_failed(),
             Input::Retrieval(new) => self.take(new),
             Input::Part(new) => self.take_part(new),
-            Input::Flowing(part) => self.with_part(*part, |part| part.flowing = true),
+            Input::Flowing(part) => self.bind(part),
             Input::Outcome(outcome) => self.push_ended(outcome),
             Input::CallerLeft(id) => self.signal(*id, Signal::CallerLeft),
             Input::Woken | Input::Aside => {}
@@ -209,16 +208,16 @@
             Due::CutOff(id) => self.signal(id, Signal::CutOffNear),
             Due::Look(part, push) => self.look_after(part, push),
             Due::Again(part) => self.s.wanted.push(part),
-            Due::FollowRoll => self.follow_roll(),
+            Due::FollowRoll => self.follow_roll(true),
+            Due::RollSilent => self.follow_roll(false),
         }
     }
 
     /// The loop that reads `TABLE`.
     fn signal(&mut self, id: RetrievalId, signal: Signal) {
         let Some(mut r) = self.s.retrievals.remove(&id) else { return };
-        if let Some(Row(_, _, _, next, act)) =
-            TABLE.iter().find(|row| row.0 == r.stage && row.1 == signal && row.2(self, &r))
-        {
+        let row = TABLE.iter().find(|row| row.0.contains(&r.stage) && row.1 == signal && row.2(self, &r));
+        if let Some(Row(_, _, _, next, act)) = row {
             r.stage = *next;
             act(self, &mut r);
         }
@@ -277,9 +276,7 @@
         let room = self.s.room * share * if r.within_share { 1.0 } else { ROOM_BEYOND };
         let need = self.plan(r, true).len();
         let out = self.s.tickets.len();
-        let life = r.goal_at - self.s.now;
-        let hopeless = |p: &&Part| self.wait_for(p).is_some_and(|wait| wait > life);
-        let lost: f64 = r.parts.iter().filter(hopeless).map(|p| p.weight).sum();
+        let lost: f64 = r.parts.iter().filter(|p| self.hopeless(r, p)).map(|p| p.weight).sum();
         let refused = out > 0 && ((out + need) as f64 > room || !self.reaches_least(r, 1.0 - lost));
         if refused {
             self.count_harm(r.within_share, need as f64, need as f64);
@@ -293,17 +290,9 @@
 
     /// Sends what the design's cut leaves, or the least share where there is no room for more.
     fn ask(&mut self, r: &mut Retrieval) {
-        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
         let mut plan = self.plan(r, false);
-        let full = (self.s.tickets.len() + plan.len()) as f64 > self.s.room;
-        if full {
-            let least = self.plan(r, true).len();
-            let room = (self.s.room as usize).saturating_sub(self.s.tickets.len());
-            plan.truncate(room.max(least));
-        }
-        for (at, part) in r.parts.iter_mut().enumerate() {
-            self.s.parts.insert(part.id, (r.id, at));
-        }
+        let room = (self.s.room as usize).saturating_sub(self.s.tickets.len());
+        plan.truncate(room.max(self.plan(r, true).len()));
         for at in plan {
             r.parts[at].stage = PartStage::Wanted;
             self.s.wanted.push(r.parts[at].id);
@@ -311,36 +300,37 @@
     }
 
     /// The design's ordinary path: parts by told weight, score = weight x B^-rank, none sent that
-    /// scores under `CUT`, and never less than the least share; with `least`, no more than that.
+    /// scores under `CUT`, and never less than the least share; with `least_only`, no more than that.
     /// Parts of even weight share a rank (the count of heavier ones): else many small even parts
     /// would collapse to a few as soon as B passes 1.
-    /// A part whose every holder is too slow for the goal time counts as cut: else a hot or dead
-    /// shard's heavy part keeps its rank and is sent for nothing while light ones are trimmed.
+    /// A part that no holder can bring in goal time counts as cut: else a hot or dead shard's heavy
+    /// part keeps its rank and is sent for nothing while light ones are trimmed.
     fn plan(&mut self, r: &Retrieval, least_only: bool) -> Vec<usize> {
         let base = self.base(r.within_share);
-        let (least, partial) = (self.row(r).least, self.row(r).partial);
-        let life = r.goal_at - self.s.now;
-        let mut order: Vec<usize> = (0..r.parts.len()).collect();
-        order.sort_by(|a, b| r.parts[*b].weight.total_cmp(&r.parts[*a].weight).then(a.cmp(b)));
+        let row = self.row(r);
         let (mut rank, mut level) = (0, f64::INFINITY);
-        let mut scored: Vec<(bool, usize, usize)> = Vec::new();
-        for (place, at) in order.into_iter().enumerate() {
-            let part = &r.parts[at];
+        let mut order: Vec<(bool, usize)> = Vec::new();
+        for (at, part) in r.parts.iter().enumerate() {
             if part.weight + ROUNDING < level {
-                (rank, level) = (place, part.weight);
+                (rank, level) = (at, part.weight);
             }
-            let hopeless = self.wait_for(part).is_some_and(|wait| wait > life);
-            let cut = least_only || hopeless || base > 1.0 && part.weight * base.powi(-(rank as i32)) < CUT;
-            scored.push((partial && (cut || hopeless), place, at));
+            let light = base > 1.0 && part.weight * base.powi(-(rank as i32)) < CUT;
+            order.push((row.least < row.whole && (least_only || light || self.hopeless(r, part)), at));
+        }
+        if !least_only {
+            order.sort();
         }
-        scored.sort();
         let mut sent = 0.0;
-        scored.retain(|(cut, _, at)| {
-            let keep = !cut || sent + ROUNDING < least;
+        order.retain(|(cut, at)| {
+            let keep = !cut || sent + ROUNDING < row.least;
             sent += if keep { r.parts[*at].weight } else { 0.0 };
             keep
         });
-        scored.into_iter().map(|(_, _, at)| at).collect()
+        order.into_iter().map(|(_, at)| at).collect()
+    }
+
+    fn hopeless(&self, r: &Retrieval, part: &Part) -> bool {
+        self.wait_for(part).is_some_and(|wait| self.s.now + wait > r.goal_at)
     }
 
     /// Sends the heaviest unsent parts that make up for what was lost.
@@ -388,12 +378,14 @@
     // ---- taking on
 
     fn take(&mut self, new: &NewRetrieval) {
-        let Some(row) = self.rows.get(new.category.0 as usize) else { return };
-        let now = self.s.now;
+        let (id, group, category, now) = (new.id, new.group, new.category, self.s.now);
+        let Some(row) = self.rows.get(category.0 as usize) else {
+            self.s.effects.push(Effect::Scrap { retrieval: id });
+            return;
+        };
         let turns = self.prescription.period.times(2.0);
         let goal_at = now + row.goal.min(new.time_left) - row.goal.times(GOAL_MARGIN) - turns;
         let cut_off_at = now + new.time_left - turns.times(2.0);
-        self.s.taken.push_back(now);
         let rate = self.s.callers.entry(new.caller).or_default();
         rate.add(now, SPAN, 1.0);
         // A caller's share is split evenly over the brokers: this one sees no other's traffic.
@@ -401,15 +393,15 @@
             let mine = caller.quota_per_s / f64::from(self.prescription.brokers.max(1));
             rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
         });
-        self.s.agenda.insert((goal_at, Due::Goal(new.id)));
-        self.s.agenda.insert((cut_off_at, Due::CutOff(new.id)));
-        self.s.groups.insert(new.group, new.id);
-        self.s.fresh.insert(new.id);
-        let (id, group, category) = (new.id, new.group, new.category);
         let (stage, first_whole, parts) = (Stage::Taken, None, Vec::new());
         let r =
             Retrieval { id, group, category, within_share, stage, goal_at, cut_off_at, first_whole, parts };
         self.s.retrievals.insert(id, r);
+        self.s.groups.insert(group, id);
+        self.s.fresh.insert(id);
+        self.s.taken.push_back(now);
+        self.s.agenda.insert((goal_at, Due::Goal(id)));
+        self.s.agenda.insert((cut_off_at, Due::CutOff(id)));
     }
 
     fn take_part(&mut self, new: &NewPart) {
@@ -421,6 +413,14 @@
         r.parts.push(Part { id: new.id, shard: new.shard, weight: new.weight, stage, flowing, pushes });
     }
 
+    fn rank_parts(&mut self, id: RetrievalId) {
+        let Some(r) = self.s.retrievals.get_mut(&id) else { return };
+        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
+        for (at, part) in r.parts.iter().enumerate() {
+            self.s.parts.insert(part.id, (id, at));
+        }
+    }
+
     fn forget(&mut self, r: &Retrieval) {
         self.call_off(r);
         self.s.groups.remove(&r.group);
@@ -432,14 +432,9 @@
     fn call_off(&mut self, r: &Retrieval) {
         for part in &r.parts {
             self.s.parts.remove(&part.id);
-            if !self.prescription.limits.may_withdraw || part.flowing {
-                continue;
-            }
-            for (no, push) in part.pushes.iter().enumerate() {
-                if push.fate == Fate::Out && !push.withdrawn {
-                    let push = PushNo(no as u16);
-                    self.s.effects.push(Effect::Withdraw { part: part.id, push });
-                }
+            let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out && !p.withdrawn);
+            for (no, _) in out.filter(|_| self.prescription.limits.may_withdraw && !part.flowing) {
+                self.s.effects.push(Effect::Withdraw { part: part.id, push: PushNo(no as u16) });
             }
         }
     }
@@ -452,10 +447,19 @@
         for id in std::mem::take(&mut self.s.wanted) {
             let Some(&(rid, at)) = self.s.parts.get(&id) else { continue };
             let Some(mut r) = self.s.retrievals.remove(&rid) else { continue };
-            if r.stage == Stage::Asking && r.parts[at].stage == PartStage::Wanted {
+            let wanted = r.stage == Stage::Asking && r.parts[at].stage == PartStage::Wanted;
+            let barred = wanted && !r.parts[at].pushes.is_empty() && !self.may_push_again(&r, at, true);
+            if barred {
+                // It waited so long that another push is no longer harmless.
+                let out = r.parts[at].pushes.iter().any(|p| p.fate == Fate::Out);
+                r.parts[at].stage = if out { PartStage::Out } else { PartStage::Lost };
+            } else if wanted {
                 self.push(&mut r, at);
             }
             self.s.retrievals.insert(rid, r);
+            if barred {
+                self.signal(rid, Signal::PartLost);
+            }
         }
         for node in self.s.nodes.values_mut() {
             node.riding = None;
@@ -487,7 +491,11 @@
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out });
-        let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
+        let mut life = (r.goal_at + late_life).min(r.cut_off_at) - now;
+        if !self.prescription.limits.copies && !self.prescription.limits.may_withdraw {
+            // Nothing but a time-out can end it in time for another.
+            life = life.min(goal.times(PATIENCE_BOUNDS.1));
+        }
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(goal), Due::Look(id, no)));
     }
@@ -497,10 +505,11 @@
     fn choose(&mut self, part: &Part) -> Option<NodeId> {
         let open = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id || p.fate != Fate::Out);
         let untried = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id);
-        let usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
-        let fresh: Vec<NodeId> = usable.iter().copied().filter(untried).collect();
-        let from = if fresh.is_empty() { usable } else { fresh };
-        let scored: Vec<(f64, NodeId)> = from.iter().map(|id| (self.score(id), *id)).collect();
+        let mut usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
+        if usable.iter().any(untried) {
+            usable.retain(untried);
+        }
+        let scored: Vec<(f64, NodeId)> = usable.iter().map(|id| (self.score(id), *id)).collect();
         let best = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
         let close = scored.iter().filter(|s| s.0 <= best * (1.0 + START)).map(|s| s.1);
         let zone = self.prescription.zone;
@@ -595,24 +604,20 @@
     }
 
     fn push_ended(&mut self, outcome: &PushOutcome) {
-        let Some((_, end)) = ENDS.iter().find(|(end, _)| *end == outcome.end) else { return };
-        if let Some(ticket) = self.s.tickets.get(&(outcome.part, outcome.push)).cloned() {
+        let Some(end) = ENDS.iter().find(|end| end.0 == outcome.end) else { return };
+        if let Some(ticket) = self.s.tickets.remove(&(outcome.part, outcome.push)) {
             self.learn(&ticket, outcome, end);
-            self.release(outcome.part, outcome.push);
         }
-        if end.fate == Fate::Void {
+        if end.1 == Fate::Void {
             self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
         }
         let Some(&(rid, at)) = self.s.parts.get(&outcome.part) else { return };
         let Some(mut r) = self.s.retrievals.remove(&rid) else { return };
-        let part = &mut r.parts[at];
-        let Some(push) = part.pushes.get_mut(outcome.push.0 as usize) else {
-            self.s.retrievals.insert(rid, r);
-            return;
-        };
-        push.fate = end.fate;
-        let others_out = part.pushes.iter().any(|p| p.fate == Fate::Out);
-        let was = part.stage;
+        if let Some(push) = r.parts[at].pushes.get_mut(outcome.push.0 as usize) {
+            push.fate = end.1;
+        }
+        let others_out = r.parts[at].pushes.iter().any(|p| p.fate == Fate::Out);
+        let was = r.parts[at].stage;
         let again = r.stage == Stage::Asking && self.may_push_again(&r, at, false);
         let stage = match outcome.end {
             _ if was == PartStage::In => PartStage::In,
@@ -637,60 +642,52 @@
     /// average latency at least, doubled for each failure in a row.
     fn learn(&mut self, ticket: &Ticket, outcome: &PushOutcome, end: &End) {
         let (now, average) = (self.s.now, self.average());
+        let &End(_, fate, harm, blame, down) = end;
         let longest = self.rows.iter().map(|row| row.goal).max().unwrap_or(average);
-        if end.fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
-            self.count_harm(ticket.within_share, f64::from(u8::from(end.harm)), 1.0);
-            // Little's law: with `out` parts out this one took so long, so at the target latency
-            // there is room for fewer, or for more.
-            let ratio = ticket.goal.times(ROOM_TARGET).over(outcome.took).min(ROOM_GROW);
-            let fits = if ratio < 1.0 { ticket.out.min(self.s.room) * ratio } else { self.s.room * ratio };
-            if ratio < 1.0 || ticket.out >= self.s.room * CROWDED {
-                let weight = 1.0 / self.s.room.max(1.0 / START);
-                self.s.room += (fits - self.s.room) * weight;
-                self.s.room = self.s.room.clamp(1.0, f64::from(self.prescription.limits.most_open.max(1)));
-            }
+        if fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
+            self.count_harm(ticket.within_share, f64::from(u8::from(harm)), 1.0);
+            self.fit_room(ticket, outcome.took);
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
-        let sample = match (outcome.end, end.blame) {
-            (PushEnd::NotSent, _) => return,
-            (PushEnd::Withdrawn, _) if node.latency.is_some_and(|l| outcome.took < l) => return,
-            (_, false) => outcome.took,
-            (_, true) => {
-                // Those out together fail together: one failure in a row, not many.
-                if now - outcome.took >= node.failed_at {
-                    node.failures = (node.failures + 1).min(16);
-                    node.failed_at = now;
-                }
-                let penalty = average.times(f64::from(1 << node.failures));
-                outcome.took.max(penalty.min(longest))
-            }
-        };
+        if let Some(call) = node.calls.get_mut(&ticket.call) {
+            call.parts_out -= 1;
+        }
+        node.calls.retain(|_, call| call.parts_out > 0);
+        let called_off = outcome.end == PushEnd::Withdrawn && node.latency.is_some_and(|l| outcome.took < l);
+        if fate == Fate::Void || called_off {
+            return;
+        }
+        // Those out together fail together: one failure in a row, not many.
+        if blame && now - outcome.took >= node.failed_at {
+            (node.failures, node.failed_at) = ((node.failures + 1).min(16), now);
+        }
+        let penalty = average.times(f64::from(1 << node.failures)).min(longest);
+        let sample = if blame { outcome.took.max(penalty) } else { outcome.took };
+        let old = node.latency.unwrap_or(sample);
+        (node.latency, node.sampled_at) = (Some(old + (sample - old).times(NEWEST)), now);
         if outcome.end == PushEnd::Finished {
             (node.failures, node.heard_at) = (0, now);
         }
-        let old = node.latency.unwrap_or(sample);
-        node.latency = Some(old + (sample - old).times(NEWEST));
-        node.sampled_at = now;
-        if end.down {
+        if down {
             // It may come back cold before the roll says so: taken to start when last seen down.
             node.started = node.started.max(Some(now));
         }
     }
 
-    fn release(&mut self, part: PartId, push: PushNo) {
-        let Some(ticket) = self.s.tickets.remove(&(part, push)) else { return };
-        let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
-        if let Some(call) = node.calls.get_mut(&ticket.call) {
-            call.parts_out -= 1;
-            if call.parts_out == 0 {
-                node.calls.remove(&ticket.call);
-            }
+    /// Little's law: with so many parts out this one took so long, so at the target latency there is
+    /// room for fewer, or for more. It grows only where it is used.
+    fn fit_room(&mut self, ticket: &Ticket, took: Tenths) {
+        let most = f64::from(self.prescription.limits.most_open.max(1));
+        let room = self.s.room;
+        let ratio = ticket.goal.times(ROOM_TARGET).over(took).min(ROOM_GROW);
+        let fits = if ratio < 1.0 { ticket.out.min(room) * ratio } else { room * ratio };
+        if ratio < 1.0 || ticket.out >= room * CROWDED {
+            self.s.room = (room + (fits - room) / room.max(1.0 / START)).clamp(1.0, most);
         }
     }
 
     fn count_harm(&mut self, within_share: bool, harmed: f64, all: f64) {
-        let gauges = [&mut self.s.pressure_all, &mut self.s.pressure_within];
-        for gauge in gauges.into_iter().take(1 + usize::from(within_share)) {
+        for gauge in self.s.pressure.iter_mut().take(1 + usize::from(within_share)) {
             gauge.harmed.add(self.s.now, SPAN, harmed);
             gauge.all.add(self.s.now, SPAN, all);
         }
@@ -700,7 +697,7 @@
 
     fn holders<'a>(&'a self, part: &Part) -> impl Iterator<Item = NodeId> + 'a {
         let ids = self.prescription.layout.cells_of(part.shard).filter_map(|cell| self.s.holders.get(&cell));
-        ids.flatten().copied().filter(|id| self.s.nodes[id].standing == Standing::Ready)
+        ids.flatten().copied()
     }
 
     /// The latency that a part must expect at its best holder; none where no node holds it now.
@@ -728,7 +725,8 @@
     fn average_latency(&self) -> Option<Tenths> {
         let ready = self.s.nodes.values().filter(|n| n.standing == Standing::Ready);
         let heard: Vec<i64> = ready.filter_map(|n| n.latency).map(|l| l.0).collect();
-        (heard.len() * 2 > self.s.nodes.len()).then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
+        let enough = !heard.is_empty() && heard.len() * 2 >= self.s.nodes.len();
+        enough.then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
     }
 
     fn is_cold(&self, id: NodeId) -> bool {
@@ -738,7 +736,8 @@
 
     /// Rule 4, kept whatever the other brokers send: a cold node gets no more than this broker's
     /// even share of what it is sure to bear. It is sure to do one part at a time at the average
-    /// latency, times the share that it has warmed to at the least.
+    /// latency when that was lowest, times the share that it has warmed to at the least.
+    /// Any failing node, cold or not, gets one call at a time until it answers.
     fn has_room(&self, id: &NodeId) -> bool {
         let node = &self.s.nodes[id];
         if node.failures > 0 && !node.calls.is_empty() {
@@ -750,9 +749,8 @@
         let rules = &self.prescription.rules;
         let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
         let share = rules.cold_share + (1.0 - rules.cold_share) * age;
-        let bears =
-            rules.fall_multiple * share * rules.fall_window.over(self.s.briskest.unwrap_or(self.average()));
-        let mine = bears / f64::from(self.prescription.brokers.max(1));
+        let alone = rules.fall_window.over(self.s.briskest.unwrap_or(self.average()));
+        let mine = rules.fall_multiple * share * alone / f64::from(self.prescription.brokers.max(1));
         // Under one push a window: the window is taken longer.
         let window = rules.fall_window.times(1.0 / mine.clamp(0.001, 1.0));
         let since = self.s.now - window;
@@ -761,43 +759,47 @@
     }
 
     fn read_roll(&mut self, roll: &Roll) {
-        (self.s.roll_failures, self.s.roll_heard) = (0, true);
+        (self.s.roll_failures, self.s.roll_awaited) = (0, false);
         if roll.kind != RollKind::Changes {
             self.s.nodes.values_mut().for_each(|node| node.standing = Standing::Gone);
         }
         for entry in roll.entries.iter() {
             let node = self.s.nodes.entry(entry.node).or_default();
-            if let Some(ids) = self.s.holders.get_mut(&node.cell) {
-                ids.remove(&entry.node);
-            }
             if entry.started > node.started {
                 // A new process under an old id: nothing heard of the old one holds.
                 (node.latency, node.failures, node.started) = (None, 0, entry.started);
             }
             (node.zone, node.cell, node.standing) = (entry.zone, entry.cell, entry.standing);
-            self.s.holders.entry(entry.cell).or_default().insert(entry.node);
+        }
+        self.s.nodes.retain(|_, node| node.standing != Standing::Gone || !node.calls.is_empty());
+        self.s.holders.clear();
+        for (id, node) in self.s.nodes.iter().filter(|(_, node)| node.standing == Standing::Ready) {
+            self.s.holders.entry(node.cell).or_default().insert(*id);
         }
     }
 
     // ---- the roll
 
-    /// Follows the roll, and asks again as long as nothing has come.
-    fn follow_roll(&mut self) {
-        self.s.effects.push(Effect::FollowRoll);
-        self.s.roll_heard = false;
+    /// Follows the roll. Comes due again later, to ask once more where no word came at all.
+    fn follow_roll(&mut self, first: bool) {
+        if first || self.s.roll_awaited {
+            self.s.effects.push(Effect::FollowRoll);
+            self.s.roll_awaited = true;
+            let wait = self.prescription.rules.ask_within.max(SPAN).times(0.5);
+            self.s.agenda.insert((self.s.now + wait, Due::RollSilent));
+        }
     }
 
     /// The roll's service is shared and finite: each failure doubles the wait, and lots are drawn.
     fn roll_failed(&mut self) {
-        if !self.prescription.roll_on_request {
-            return;
-        }
-        let within = self.prescription.rules.ask_within;
+        let within = self.prescription.rules.ask_within.max(SPAN);
         let wait = within.times(ROLL_WAIT * f64::from(1 << self.s.roll_failures.min(4)));
         self.s.roll_failures += 1;
         let at = self.s.now + wait.times(0.5 + self.rng.f64());
-        self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
-        self.s.agenda.insert((at, Due::FollowRoll));
+        self.s.agenda.retain(|(_, due)| !matches!(due, Due::FollowRoll | Due::RollSilent));
+        if self.prescription.roll_on_request {
+            self.s.agenda.insert((at, Due::FollowRoll));
+        }
     }
 
     // ---- figures
@@ -817,7 +819,7 @@
 
     fn reaches_least(&self, r: &Retrieval, sum: f64) -> bool {
         let row = self.row(r);
-        let need = if r.first_whole.is_some() && !row.partial { 1.0 } else { row.least };
+        let need = if r.first_whole.is_some() && row.least >= row.whole { 1.0 } else { row.least };
         sum + ROUNDING >= need
     }
 
@@ -826,11 +828,11 @@
     /// its caller's share is not judged by the harm that callers beyond theirs come to: one caller's
     /// storm would else lift the pressure of all.
     fn pressure(&self, within_share: bool) -> f64 {
-        let read = |gauge: &crate::state::Gauge| {
-            gauge.harmed.read(self.s.now, SPAN) / gauge.all.read(self.s.now, SPAN).max(1.0 / START)
-        };
-        let within = read(&self.s.pressure_within);
-        if within_share { within } else { within.max(read(&self.s.pressure_all)) }
+        let [all, within] = self.s.pressure.each_ref().map(|gauge| {
+            let heard = gauge.all.read(self.s.now, SPAN).max(1.0 / START);
+            gauge.harmed.read(self.s.now, SPAN) / heard
+        });
+        if within_share { within } else { within.max(all) }
     }
 
     fn base(&mut self, within_share: bool) -> f64 {
@@ -844,26 +846,27 @@
         1.0 + (FULL_BASE - 1.0) * ((pressure - START) / (1.0 - START)).max(0.0)
     }
 
+    /// What was taken is counted over a window shorter by two turns, what was pushed further over one
+    /// longer by two.
+    fn close_books(&mut self) {
+        let since = self.s.now - self.further.window;
+        let slack = self.prescription.period.times(2.0);
+        while self.s.taken.pop_front_if(|at| *at < since + slack).is_some() {}
+        while self.s.further.pop_front_if(|push| push.0 < since - slack).is_some() {}
+    }
+
     /// Rule 6, and the broker's own restraint: in any window, further pushes stay under a few plus a
-    /// share of what was taken. What was taken is counted over a window shorter by two turns, what
-    /// was pushed over one longer by two.
-    fn further_left(&mut self) -> bool {
-        let (now, slack) = (self.s.now, self.prescription.period.times(2.0));
-        let window = self.further.window;
-        while self.s.taken.front().is_some_and(|at| *at < now - window + slack) {
-            self.s.taken.pop_front();
-        }
-        while self.s.further.front().is_some_and(|f| f.0 < now - window - slack) {
-            self.s.further.pop_front();
-        }
+    /// share of what was taken.
+    fn further_left(&self) -> bool {
         let most = self.further.floor + self.further.share * self.s.taken.len() as f64;
         (self.s.further.len() + 1) as f64 <= most
     }
 
-    fn with_part(&mut self, id: PartId, change: impl FnOnce(&mut Part)) {
-        let Some(&(rid, at)) = self.s.parts.get(&id) else { return };
-        let Some(r) = self.s.retrievals.get_mut(&rid) else { return };
-        change(&mut r.parts[at]);
+    fn bind(&mut self, id: &PartId) {
+        let Some((rid, at)) = self.s.parts.get(id) else { return };
+        if let Some(r) = self.s.retrievals.get_mut(rid) {
+            r.parts[*at].flowing = true;
+        }
     }
 
     fn ask_to_be_woken(&mut self) {
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -152,6 +152,8 @@
     /// A waiting part tries again.
     Again(PartId),
     FollowRoll,
+    /// No word of the roll has come since it was asked for.
+    RollSilent,
 }
 
 /// What lives as long as the broker.
@@ -176,8 +178,8 @@
     pub average: Option<Tenths>,
     /// The lowest it has been.
     pub briskest: Option<Tenths>,
-    pub pressure_within: Gauge,
-    pub pressure_all: Gauge,
+    /// Over all parts, and over those of callers within their share.
+    pub pressure: [Gauge; 2],
     pub cutting: bool,
     /// How many parts this broker may have out.
     pub room: f64,
@@ -185,6 +187,6 @@
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
-    pub roll_heard: bool,
+    pub roll_awaited: bool,
     pub roll_failures: u32,
 }
