--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -5,10 +5,12 @@
 //! each end of a push means. Everything else is a guard or an act that these two name.
 
 use crate::effects::Effect;
-use crate::ids::{CallNo, CategoryNo, NodeId, PartId, PushNo, RetrievalId};
+use crate::ids::{CategoryNo, NodeId, PartId, PushNo, RetrievalId};
 use crate::inputs::{Input, NewPart, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind, Standing};
 use crate::prescription::{EffectKind, FurtherBudget, Prescription};
-use crate::state::{Due, Fate, Instance, Node, Part, PartStage, Push, Retrieval, Stage, Ticket};
+use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
+use crate::state::Stage::{self, Answered, Asking, Between, Over, Overdue, Taken};
+use crate::state::{CategoryRow, Due, Fate, Instance, Node, Part, PartStage, Push, Retrieval, Ticket};
 use crate::time::Tenths;
 
 /// The design page's figures: score below which a part stays unsent, the base's ceiling, the
@@ -45,69 +47,34 @@
 /// The first wait before the roll is asked for again, as a share of the time it may be silent.
 const ROLL_WAIT: f64 = 0.025;
 
-/// What a category's row holds, worked out once from the prescription.
-struct CategoryRow {
-    goal: Tenths,
-    /// How long after its goal a push may still be of use.
-    late_life: Tenths,
-    /// An answer after the goal time is worth waiting for.
-    late_pays: bool,
-    least: f64,
-    whole: f64,
-    two_steps: bool,
-    effect: EffectKind,
-    repeat_window: Tenths,
-    /// The most pushes for a part, by payoff.
-    pushes: usize,
-    /// Payoff as a share of the largest.
-    value: f64,
-}
-
-#[derive(Clone, Copy, PartialEq)]
-enum Signal {
-    /// All parts that came in this turn are in hand.
-    Ready,
-    PartIn,
-    PartLost,
-    GoalNear,
-    CutOffNear,
-    Said,
-    CallerLeft,
-}
-
 type Guard = fn(&mut Broker, &Retrieval) -> bool;
 type Act = fn(&mut Broker, &mut Retrieval);
 
 struct Row(&'static [Stage], Signal, Guard, Stage, Act);
 
-const TAKEN: &[Stage] = &[Stage::Taken];
-const ASKING: &[Stage] = &[Stage::Asking];
-const OVERDUE: &[Stage] = &[Stage::Overdue];
-const SAID: &[Stage] = &[Stage::Answered];
-const BETWEEN: &[Stage] = &[Stage::Between];
-const ANY: &[Stage] = &[Stage::Taken, Stage::Asking, Stage::Overdue, Stage::Between];
+const ANY: &[Stage] = &[Taken, Asking, Overdue, Between];
 
 /// The life of a retrieval: at a stage, on a signal, if the guard holds, go to the next stage and
 /// act. The first row that fits is taken; where none fits, nothing happens.
 #[rustfmt::skip]
 const TABLE: &[Row] = &[
-    Row(TAKEN,   Signal::Ready,      Broker::no_room,       Stage::Over,     Broker::give_up),
-    Row(TAKEN,   Signal::Ready,      Broker::always,        Stage::Asking,   Broker::ask),
-    Row(BETWEEN, Signal::Ready,      Broker::always,        Stage::Asking,   Broker::ask),
-    Row(ASKING,  Signal::PartIn,     Broker::complete,      Stage::Answered, Broker::answer),
-    Row(ASKING,  Signal::PartLost,   Broker::complete,      Stage::Answered, Broker::answer),
-    Row(ASKING,  Signal::PartLost,   Broker::can_mend,      Stage::Asking,   Broker::mend),
-    Row(ASKING,  Signal::PartLost,   Broker::beyond_hope,   Stage::Over,     Broker::give_up),
-    Row(ASKING,  Signal::GoalNear,   Broker::has_least,     Stage::Answered, Broker::answer),
-    Row(ASKING,  Signal::GoalNear,   Broker::late_is_worth, Stage::Overdue,  Broker::stop_asking),
-    Row(ASKING,  Signal::GoalNear,   Broker::always,        Stage::Over,     Broker::give_up),
-    Row(OVERDUE, Signal::PartIn,     Broker::has_least,     Stage::Answered, Broker::answer),
-    Row(OVERDUE, Signal::PartLost,   Broker::beyond_hope,   Stage::Over,     Broker::give_up),
-    Row(SAID,    Signal::Said,       Broker::leads_on,      Stage::Between,  Broker::clear_parts),
-    Row(SAID,    Signal::Said,       Broker::always,        Stage::Over,     Broker::nothing),
-    Row(ANY,     Signal::CutOffNear, Broker::has_least,     Stage::Answered, Broker::answer),
-    Row(ANY,     Signal::CutOffNear, Broker::always,        Stage::Over,     Broker::give_up),
-    Row(ANY,     Signal::CallerLeft, Broker::always,        Stage::Over,     Broker::nothing),
+    Row(&[Taken],    Ready,      Broker::no_room,       Over,     Broker::give_up),
+    Row(&[Taken],    Ready,      |_, _| true,           Asking,   Broker::ask),
+    Row(&[Between],  Ready,      |_, _| true,           Asking,   Broker::ask),
+    Row(&[Asking],   PartIn,     Broker::complete,      Answered, Broker::answer),
+    Row(&[Asking],   PartLost,   Broker::complete,      Answered, Broker::answer),
+    Row(&[Asking],   PartLost,   Broker::can_mend,      Asking,   Broker::mend),
+    Row(&[Asking],   PartLost,   Broker::beyond_hope,   Over,     Broker::give_up),
+    Row(&[Asking],   GoalNear,   Broker::has_least,     Answered, Broker::answer),
+    Row(&[Asking],   GoalNear,   Broker::late_is_worth, Overdue,  Broker::stop_asking),
+    Row(&[Asking],   GoalNear,   |_, _| true,           Over,     Broker::give_up),
+    Row(&[Overdue],  PartIn,     Broker::has_least,     Answered, Broker::answer),
+    Row(&[Overdue],  PartLost,   Broker::beyond_hope,   Over,     Broker::give_up),
+    Row(&[Answered], Said,       Broker::leads_on,      Between,  Broker::clear_parts),
+    Row(&[Answered], Said,       |_, _| true,           Over,     |_, _| ()),
+    Row(ANY,         CutOffNear, Broker::has_least,     Answered, Broker::answer),
+    Row(ANY,         CutOffNear, |_, _| true,           Over,     Broker::give_up),
+    Row(ANY,         CallerLeft, |_, _| true,           Over,     |_, _| ()),
 ];
 
 /// What a push's end tells: what became of the effect, whether it is harm that counts as pressure,
@@ -161,6 +128,7 @@
         if p.roll_on_request {
             s.agenda.insert((now, Due::FollowRoll));
         }
+        s.roll_silent = true;
         s.room = f64::from(p.limits.most_open) * CROWDED;
         let rows = rows.collect();
         let further = p.rules.further.clone().unwrap_or(own);
@@ -181,11 +149,11 @@
             self.come_due(due);
         }
         for id in std::mem::take(&mut self.s.fresh) {
-            self.rank_parts(id);
-            self.signal(id, Signal::Ready);
+            self.s.rank_parts(id);
+            self.signal(id, Ready);
         }
         self.send_wanted();
-        self.ask_to_be_woken();
+        self.s.ask_to_be_woken();
         std::mem::take(&mut self.s.effects)
     }
 
@@ -195,21 +163,20 @@
             Input::RollFailed => self.roll_failed(),
             Input::Retrieval(new) => self.take(new),
             Input::Part(new) => self.take_part(new),
-            Input::Flowing(part) => self.bind(part),
+            Input::Flowing(part) => self.s.bind(part),
             Input::Outcome(outcome) => self.push_ended(outcome),
-            Input::CallerLeft(id) => self.signal(*id, Signal::CallerLeft),
+            Input::CallerLeft(id) => self.signal(*id, CallerLeft),
             Input::Woken | Input::Aside => {}
         }
     }
 
     fn come_due(&mut self, due: Due) {
         match due {
-            Due::Goal(id) => self.signal(id, Signal::GoalNear),
-            Due::CutOff(id) => self.signal(id, Signal::CutOffNear),
+            Due::Goal(id) => self.signal(id, GoalNear),
+            Due::CutOff(id) => self.signal(id, CutOffNear),
             Due::Look(part, push) => self.look_after(part, push),
             Due::Again(part) => self.s.wanted.push(part),
-            Due::FollowRoll => self.follow_roll(true),
-            Due::RollSilent => self.follow_roll(false),
+            Due::FollowRoll => self.follow_roll(),
         }
     }
 
@@ -222,43 +189,42 @@
             act(self, &mut r);
         }
         match r.stage {
-            Stage::Over => self.forget(&r),
-            Stage::Answered => {
-                self.s.retrievals.insert(id, r);
-                self.signal(id, Signal::Said);
+            Over => {
+                self.call_off(&r);
+                self.s.let_go(&r);
             }
-            _ => _ = self.s.retrievals.insert(id, r),
+            Answered => {
+                self.s.put(r);
+                self.signal(id, Said);
+            }
+            _ => self.s.put(r),
         }
     }
 
     // ---- guards
 
-    fn always(&mut self, _: &Retrieval) -> bool {
-        true
-    }
-
     /// All that was sent has come to its end, or enough is in for the whole.
     fn complete(&mut self, r: &Retrieval) -> bool {
-        self.has_least(r) && (self.is_whole(r) || weight(r, &[PartStage::Wanted, PartStage::Out]) == 0.0)
+        self.has_least(r) && (self.is_whole(r) || r.weight(&[PartStage::Wanted, PartStage::Out]) == 0.0)
     }
 
     fn has_least(&mut self, r: &Retrieval) -> bool {
-        self.reaches_least(r, weight(r, &[PartStage::In]))
+        self.reaches_least(r, r.weight(&[PartStage::In]))
     }
 
     /// Unsent light parts can stand in for lost ones.
     fn can_mend(&mut self, r: &Retrieval) -> bool {
-        let all = weight(r, &[PartStage::Unsent, PartStage::Wanted, PartStage::Out, PartStage::In]);
+        let all = r.weight(&[PartStage::Unsent, PartStage::Wanted, PartStage::Out, PartStage::In]);
         self.beyond_hope(r) && self.reaches_least(r, all)
     }
 
     /// Even if all that is out comes in, it is less than the least share.
     fn beyond_hope(&mut self, r: &Retrieval) -> bool {
-        !self.reaches_least(r, weight(r, &[PartStage::Wanted, PartStage::Out, PartStage::In]))
+        !self.reaches_least(r, r.weight(&[PartStage::Wanted, PartStage::Out, PartStage::In]))
     }
 
     fn late_is_worth(&mut self, r: &Retrieval) -> bool {
-        self.row(r).late_pays && self.reaches_least(r, weight(r, &[PartStage::Out, PartStage::In]))
+        self.row(r).late_pays && self.reaches_least(r, r.weight(&[PartStage::Out, PartStage::In]))
     }
 
     fn leads_on(&mut self, r: &Retrieval) -> bool {
@@ -286,8 +252,6 @@
 
     // ---- acts
 
-    fn nothing(&mut self, _: &mut Retrieval) {}
-
     /// Sends what the design's cut leaves, or the least share where there is no room for more.
     fn ask(&mut self, r: &mut Retrieval) {
         let mut plan = self.plan(r, false);
@@ -352,7 +316,7 @@
 
     fn clear_parts(&mut self, r: &mut Retrieval) {
         self.call_off(r);
-        r.parts.clear();
+        self.s.drop_parts(r);
     }
 
     fn stop_asking(&mut self, r: &mut Retrieval) {
@@ -393,45 +357,21 @@
             let mine = caller.quota_per_s / f64::from(self.prescription.brokers.max(1));
             rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
         });
-        let (stage, first_whole, parts) = (Stage::Taken, None, Vec::new());
+        let (stage, first_whole, parts) = (Taken, None, Vec::new());
         let r =
             Retrieval { id, group, category, within_share, stage, goal_at, cut_off_at, first_whole, parts };
-        self.s.retrievals.insert(id, r);
-        self.s.groups.insert(group, id);
-        self.s.fresh.insert(id);
+        self.s.hold(r);
         self.s.taken.push_back(now);
-        self.s.agenda.insert((goal_at, Due::Goal(id)));
-        self.s.agenda.insert((cut_off_at, Due::CutOff(id)));
     }
 
     fn take_part(&mut self, new: &NewPart) {
         self.s.taken.push_back(self.s.now);
-        let Some(id) = self.s.groups.get(&new.group) else { return };
-        let Some(r) = self.s.retrievals.get_mut(id) else { return };
-        self.s.fresh.insert(*id);
-        let (stage, flowing, pushes) = (PartStage::Unsent, false, Vec::new());
-        r.parts.push(Part { id: new.id, shard: new.shard, weight: new.weight, stage, flowing, pushes });
-    }
-
-    fn rank_parts(&mut self, id: RetrievalId) {
-        let Some(r) = self.s.retrievals.get_mut(&id) else { return };
-        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
-        for (at, part) in r.parts.iter().enumerate() {
-            self.s.parts.insert(part.id, (id, at));
-        }
-    }
-
-    fn forget(&mut self, r: &Retrieval) {
-        self.call_off(r);
-        self.s.groups.remove(&r.group);
-        self.s.agenda.remove(&(r.goal_at, Due::Goal(r.id)));
-        self.s.agenda.remove(&(r.cut_off_at, Due::CutOff(r.id)));
+        self.s.add_part(new);
     }
 
     /// Drops a retrieval's parts, and what they still have out.
     fn call_off(&mut self, r: &Retrieval) {
         for part in &r.parts {
-            self.s.parts.remove(&part.id);
             let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out && !p.withdrawn);
             for (no, _) in out.filter(|_| self.prescription.limits.may_withdraw && !part.flowing) {
                 self.s.effects.push(Effect::Withdraw { part: part.id, push: PushNo(no as u16) });
@@ -445,25 +385,23 @@
     fn send_wanted(&mut self) {
         self.s.out_at_turn = (self.s.tickets.len() + self.s.wanted.len()) as f64;
         for id in std::mem::take(&mut self.s.wanted) {
-            let Some(&(rid, at)) = self.s.parts.get(&id) else { continue };
-            let Some(mut r) = self.s.retrievals.remove(&rid) else { continue };
-            let wanted = r.stage == Stage::Asking && r.parts[at].stage == PartStage::Wanted;
+            let Some((mut r, at)) = self.s.lift(id) else { continue };
+            let rid = r.id;
+            let wanted = r.stage == Asking && r.parts[at].stage == PartStage::Wanted;
             let barred = wanted && !r.parts[at].pushes.is_empty() && !self.may_push_again(&r, at, true);
             if barred {
                 // It waited so long that another push is no longer harmless.
-                let out = r.parts[at].pushes.iter().any(|p| p.fate == Fate::Out);
+                let out = r.parts[at].out() > 0;
                 r.parts[at].stage = if out { PartStage::Out } else { PartStage::Lost };
             } else if wanted {
                 self.push(&mut r, at);
             }
-            self.s.retrievals.insert(rid, r);
+            self.s.put(r);
             if barred {
-                self.signal(rid, Signal::PartLost);
+                self.signal(rid, PartLost);
             }
         }
-        for node in self.s.nodes.values_mut() {
-            node.riding = None;
-        }
+        self.s.close_calls();
     }
 
     fn push(&mut self, r: &mut Retrieval, at: usize) {
@@ -474,7 +412,7 @@
         let node = self.choose(part).filter(|_| !further || self.further_left());
         let Some(node) = node else {
             // No holder may have it now, or the budget is spent: it waits while that can help.
-            if part.pushes.iter().any(|p| p.fate == Fate::Out) {
+            if part.out() > 0 {
                 part.stage = PartStage::Out;
             } else {
                 self.s.agenda.insert((now + goal.times(AGAIN).max(Tenths(1)), Due::Again(part.id)));
@@ -485,7 +423,8 @@
         if further {
             self.s.further.push_back((now, part.id, no));
         }
-        let call = self.ride(node);
+        let cold = self.is_cold(node);
+        let call = self.s.board(node, self.prescription.layout.per_call, cold);
         let out = self.s.out_at_turn;
         let (id, within_share) = (part.id, r.within_share);
         part.stage = PartStage::Out;
@@ -525,26 +464,6 @@
         self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
     }
 
-    /// The call that a push of this turn to this node travels in.
-    fn ride(&mut self, id: NodeId) -> CallNo {
-        let (now, per_call, cold) = (self.s.now, self.prescription.layout.per_call, self.is_cold(id));
-        let node = self.s.nodes.get_mut(&id).expect("chosen from the nodes");
-        let (call, parts) = match node.riding {
-            Some((call, parts)) if parts < per_call => (call, parts + 1),
-            _ => {
-                self.s.next_call.0 += 1;
-                (self.s.next_call, 1)
-            }
-        };
-        node.riding = Some((call, parts));
-        let entry = node.calls.entry(call).or_insert(crate::state::Call { sent: now, parts_out: 0 });
-        entry.parts_out += 1;
-        if cold {
-            node.cold_pushes.push_back(now);
-        }
-        call
-    }
-
     /// How long a push is left alone.
     fn patience(&self, goal: Tenths) -> Tenths {
         let (low, high) = PATIENCE_BOUNDS;
@@ -557,19 +476,17 @@
     /// place of the first push where copies are not allowed. Under load that is even all over, no
     /// holder looks far faster and nothing is pushed again. Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
-        let Some(&(rid, at)) = self.s.parts.get(&id) else { return };
-        let Some(mut r) = self.s.retrievals.remove(&rid) else { return };
+        let Some((mut r, at)) = self.s.lift(id) else { return };
         let limits = &self.prescription.limits;
         let (copies, may_withdraw) = (limits.copies, limits.may_withdraw);
         let push = &r.parts[at].pushes[no.0 as usize];
         let waits = r.parts[at].stage == PartStage::Out && !r.parts[at].flowing;
-        if r.stage == Stage::Asking && waits && push.fate == Fate::Out && !push.withdrawn {
+        if r.stage == Asking && waits && push.fate == Fate::Out && !push.withdrawn {
             let now = self.s.now;
             let (sent, node) = (push.sent, self.s.nodes.get(&push.node));
             let silent = node.is_none_or(|n| n.heard_at <= sent);
             let here = node.map_or(self.average(), |n| self.latency(n));
-            let out = r.parts[at].pushes.iter().filter(|p| p.fate == Fate::Out).count();
-            let again = silent && out == 1 && self.may_push_again(&r, at, true);
+            let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| {
                 there.times(WORTH_MOVING) < here && now + there < r.goal_at && self.further_left()
@@ -585,7 +502,7 @@
                 self.s.agenda.insert((now + goal.times(AGAIN).max(Tenths(1)), Due::Look(id, no)));
             }
         }
-        self.s.retrievals.insert(rid, r);
+        self.s.put(r);
     }
 
     /// Whether another push of a part would keep rule 2 and its count. `copy`: while one is out.
@@ -611,28 +528,27 @@
         if end.1 == Fate::Void {
             self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
         }
-        let Some(&(rid, at)) = self.s.parts.get(&outcome.part) else { return };
-        let Some(mut r) = self.s.retrievals.remove(&rid) else { return };
+        let Some((mut r, at)) = self.s.lift(outcome.part) else { return };
+        let rid = r.id;
         if let Some(push) = r.parts[at].pushes.get_mut(outcome.push.0 as usize) {
             push.fate = end.1;
         }
-        let others_out = r.parts[at].pushes.iter().any(|p| p.fate == Fate::Out);
         let was = r.parts[at].stage;
-        let again = r.stage == Stage::Asking && self.may_push_again(&r, at, false);
+        let again = r.stage == Asking && self.may_push_again(&r, at, false);
         let stage = match outcome.end {
             _ if was == PartStage::In => PartStage::In,
             PushEnd::Finished => PartStage::In,
-            _ if others_out => PartStage::Out,
+            _ if r.parts[at].out() > 0 => PartStage::Out,
             PushEnd::NotSent => PartStage::Lost,
             _ if again => PartStage::Wanted,
             _ => PartStage::Lost,
         };
         r.parts[at].stage = stage;
-        self.s.retrievals.insert(rid, r);
+        self.s.put(r);
         match stage {
-            PartStage::In if was != stage => self.signal(rid, Signal::PartIn),
+            PartStage::In if was != stage => self.signal(rid, PartIn),
             PartStage::Wanted => self.s.wanted.push(outcome.part),
-            PartStage::Lost if was != stage => self.signal(rid, Signal::PartLost),
+            PartStage::Lost if was != stage => self.signal(rid, PartLost),
             _ => {}
         }
     }
@@ -649,10 +565,7 @@
             self.fit_room(ticket, outcome.took);
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
-        if let Some(call) = node.calls.get_mut(&ticket.call) {
-            call.parts_out -= 1;
-        }
-        node.calls.retain(|_, call| call.parts_out > 0);
+        node.leave(ticket.call);
         let called_off = outcome.end == PushEnd::Withdrawn && node.latency.is_some_and(|l| outcome.took < l);
         if fate == Fate::Void || called_off {
             return;
@@ -759,34 +672,20 @@
     }
 
     fn read_roll(&mut self, roll: &Roll) {
-        (self.s.roll_failures, self.s.roll_awaited) = (0, false);
-        if roll.kind != RollKind::Changes {
-            self.s.nodes.values_mut().for_each(|node| node.standing = Standing::Gone);
-        }
-        for entry in roll.entries.iter() {
-            let node = self.s.nodes.entry(entry.node).or_default();
-            if entry.started > node.started {
-                // A new process under an old id: nothing heard of the old one holds.
-                (node.latency, node.failures, node.started) = (None, 0, entry.started);
-            }
-            (node.zone, node.cell, node.standing) = (entry.zone, entry.cell, entry.standing);
-        }
-        self.s.nodes.retain(|_, node| node.standing != Standing::Gone || !node.calls.is_empty());
-        self.s.holders.clear();
-        for (id, node) in self.s.nodes.iter().filter(|(_, node)| node.standing == Standing::Ready) {
-            self.s.holders.entry(node.cell).or_default().insert(*id);
+        if roll.kind != RollKind::Remembered {
+            (self.s.roll_failures, self.s.roll_silent) = (0, false);
         }
+        self.s.read_roll(roll);
     }
 
     // ---- the roll
 
-    /// Follows the roll. Comes due again later, to ask once more where no word came at all.
-    fn follow_roll(&mut self, first: bool) {
-        if first || self.s.roll_awaited {
+    /// Follows the roll, and comes due again to ask once more where no word has come at all.
+    fn follow_roll(&mut self) {
+        if self.s.roll_silent {
             self.s.effects.push(Effect::FollowRoll);
-            self.s.roll_awaited = true;
             let wait = self.prescription.rules.ask_within.max(SPAN).times(0.5);
-            self.s.agenda.insert((self.s.now + wait, Due::RollSilent));
+            self.s.agenda.insert((self.s.now + wait, Due::FollowRoll));
         }
     }
 
@@ -796,7 +695,8 @@
         let wait = within.times(ROLL_WAIT * f64::from(1 << self.s.roll_failures.min(4)));
         self.s.roll_failures += 1;
         let at = self.s.now + wait.times(0.5 + self.rng.f64());
-        self.s.agenda.retain(|(_, due)| !matches!(due, Due::FollowRoll | Due::RollSilent));
+        self.s.roll_silent = true;
+        self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
         if self.prescription.roll_on_request {
             self.s.agenda.insert((at, Due::FollowRoll));
         }
@@ -812,7 +712,7 @@
     fn is_whole(&self, r: &Retrieval) -> bool {
         let all_in = r.parts.iter().all(|p| p.stage == PartStage::In);
         match r.first_whole {
-            None => weight(r, &[PartStage::In]) + ROUNDING >= self.row(r).whole,
+            None => r.weight(&[PartStage::In]) + ROUNDING >= self.row(r).whole,
             Some(first) => first && all_in,
         }
     }
@@ -861,23 +761,4 @@
         let most = self.further.floor + self.further.share * self.s.taken.len() as f64;
         (self.s.further.len() + 1) as f64 <= most
     }
-
-    fn bind(&mut self, id: &PartId) {
-        let Some((rid, at)) = self.s.parts.get(id) else { return };
-        if let Some(r) = self.s.retrievals.get_mut(rid) {
-            r.parts[*at].flowing = true;
-        }
-    }
-
-    fn ask_to_be_woken(&mut self) {
-        let Some(&(at, _)) = self.s.agenda.first() else { return };
-        if self.s.woken_at.is_none_or(|woken| woken <= self.s.now || woken > at) {
-            self.s.woken_at = Some(at);
-            self.s.effects.push(Effect::Wake { after: at - self.s.now });
-        }
-    }
-}
-
-fn weight(r: &Retrieval, stages: &[PartStage]) -> f64 {
-    r.parts.iter().filter(|p| stages.contains(&p.stage)).map(|p| p.weight).sum()
 }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -5,7 +5,8 @@
 use crate::ids::{
     CallNo, CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
 };
-use crate::inputs::Standing;
+use crate::inputs::{NewPart, Roll, RollKind, Standing};
+use crate::prescription::EffectKind;
 use crate::time::Tenths;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -77,6 +78,19 @@
     Over,
 }
 
+/// What moves a retrieval on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// All parts that came in this turn are in hand.
+    Ready,
+    PartIn,
+    PartLost,
+    GoalNear,
+    CutOffNear,
+    Said,
+    CallerLeft,
+}
+
 #[derive(Clone, Debug)]
 pub struct Retrieval {
     pub id: RetrievalId,
@@ -142,6 +156,24 @@
     pub all: Fading,
 }
 
+/// What a category's row holds, worked out once from the prescription.
+pub struct CategoryRow {
+    pub goal: Tenths,
+    /// How long after its goal a push may still be of use.
+    pub late_life: Tenths,
+    /// An answer after the goal time is worth waiting for.
+    pub late_pays: bool,
+    pub least: f64,
+    pub whole: f64,
+    pub two_steps: bool,
+    pub effect: EffectKind,
+    pub repeat_window: Tenths,
+    /// The most pushes for a part, by payoff.
+    pub pushes: usize,
+    /// Payoff as a share of the largest.
+    pub value: f64,
+}
+
 /// What comes due at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Due {
@@ -152,8 +184,6 @@
     /// A waiting part tries again.
     Again(PartId),
     FollowRoll,
-    /// No word of the roll has come since it was asked for.
-    RollSilent,
 }
 
 /// What lives as long as the broker.
@@ -187,6 +217,140 @@
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
-    pub roll_awaited: bool,
+    /// No word of the roll has come since it was last asked for.
+    pub roll_silent: bool,
     pub roll_failures: u32,
 }
+
+// What follows keeps the books; it decides nothing.
+
+impl Retrieval {
+    /// The weight of the parts at these stages.
+    pub fn weight(&self, stages: &[PartStage]) -> f64 {
+        self.parts.iter().filter(|p| stages.contains(&p.stage)).map(|p| p.weight).sum()
+    }
+}
+
+impl Part {
+    /// How many of its pushes are out.
+    pub fn out(&self) -> usize {
+        self.pushes.iter().filter(|push| push.fate == Fate::Out).count()
+    }
+}
+
+impl Node {
+    /// A part's push has come to its end.
+    pub fn leave(&mut self, call: CallNo) {
+        if let Some(call) = self.calls.get_mut(&call) {
+            call.parts_out -= 1;
+        }
+        self.calls.retain(|_, call| call.parts_out > 0);
+    }
+}
+
+impl Instance {
+    pub fn hold(&mut self, r: Retrieval) {
+        self.groups.insert(r.group, r.id);
+        self.fresh.insert(r.id);
+        self.agenda.insert((r.goal_at, Due::Goal(r.id)));
+        self.agenda.insert((r.cut_off_at, Due::CutOff(r.id)));
+        self.put(r);
+    }
+
+    pub fn put(&mut self, r: Retrieval) {
+        self.retrievals.insert(r.id, r);
+    }
+
+    /// Takes the retrieval of a part out, to be put back; with the part's place in it.
+    pub fn lift(&mut self, part: PartId) -> Option<(Retrieval, usize)> {
+        let (id, at) = *self.parts.get(&part)?;
+        Some((self.retrievals.remove(&id)?, at))
+    }
+
+    pub fn let_go(&mut self, r: &Retrieval) {
+        r.parts.iter().for_each(|part| _ = self.parts.remove(&part.id));
+        self.groups.remove(&r.group);
+        self.agenda.remove(&(r.goal_at, Due::Goal(r.id)));
+        self.agenda.remove(&(r.cut_off_at, Due::CutOff(r.id)));
+    }
+
+    pub fn drop_parts(&mut self, r: &mut Retrieval) {
+        r.parts.drain(..).for_each(|part| _ = self.parts.remove(&part.id));
+    }
+
+    pub fn add_part(&mut self, new: &NewPart) {
+        let Some(id) = self.groups.get(&new.group) else { return };
+        let Some(r) = self.retrievals.get_mut(id) else { return };
+        self.fresh.insert(*id);
+        let (stage, flowing, pushes) = (PartStage::Unsent, false, Vec::new());
+        r.parts.push(Part { id: new.id, shard: new.shard, weight: new.weight, stage, flowing, pushes });
+    }
+
+    /// Puts a retrieval's parts in the order of their ranks.
+    pub fn rank_parts(&mut self, id: RetrievalId) {
+        let Some(r) = self.retrievals.get_mut(&id) else { return };
+        r.parts.sort_by(|a, b| b.weight.total_cmp(&a.weight).then(a.id.cmp(&b.id)));
+        for (at, part) in r.parts.iter().enumerate() {
+            self.parts.insert(part.id, (id, at));
+        }
+    }
+
+    pub fn bind(&mut self, part: &PartId) {
+        let Some((id, at)) = self.parts.get(part) else { return };
+        if let Some(r) = self.retrievals.get_mut(id) {
+            r.parts[*at].flowing = true;
+        }
+    }
+
+    /// The call that a push of this turn to this node travels in.
+    pub fn board(&mut self, id: NodeId, per_call: u32, cold: bool) -> CallNo {
+        let now = self.now;
+        let node = self.nodes.entry(id).or_default();
+        let (call, parts) = match node.riding {
+            Some((call, parts)) if parts < per_call => (call, parts + 1),
+            _ => {
+                self.next_call.0 += 1;
+                (self.next_call, 1)
+            }
+        };
+        node.riding = Some((call, parts));
+        node.calls.entry(call).or_insert(Call { sent: now, parts_out: 0 }).parts_out += 1;
+        if cold {
+            node.cold_pushes.push_back(now);
+        }
+        call
+    }
+
+    /// The turn's calls leave; what is sent later travels in others.
+    pub fn close_calls(&mut self) {
+        self.nodes.values_mut().for_each(|node| node.riding = None);
+    }
+
+    pub fn read_roll(&mut self, roll: &Roll) {
+        if roll.kind != RollKind::Changes {
+            self.nodes.values_mut().for_each(|node| node.standing = Standing::Gone);
+        }
+        for entry in roll.entries.iter() {
+            let node = self.nodes.entry(entry.node).or_default();
+            if entry.started > node.started {
+                // A new process under an old id: nothing heard of the old one holds.
+                (node.latency, node.failures, node.started) = (None, 0, entry.started);
+            }
+            (node.zone, node.cell, node.standing) = (entry.zone, entry.cell, entry.standing);
+        }
+        self.nodes.retain(|_, node| node.standing != Standing::Gone || !node.calls.is_empty());
+        self.holders.clear();
+        for (id, node) in self.nodes.iter().filter(|(_, node)| node.standing == Standing::Ready) {
+            self.holders.entry(node.cell).or_default().insert(*id);
+        }
+    }
+
+    /// One wake-up is under way for the first thing on the agenda.
+    pub fn ask_to_be_woken(&mut self) {
+        let Some(&(at, _)) = self.agenda.first() else { return };
+        if self.woken_at.is_none_or(|woken| woken <= self.now || woken > at) {
+            self.woken_at = Some(at);
+            self.effects.push(Effect::Wake { after: at - self.now });
+        }
+    }
+}
