--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -5,8 +5,8 @@
 //! each end of a push means. Everything else is a guard or an act that these two name.
 
 use crate::effects::Effect;
-use crate::ids::{CategoryNo, NodeId, PartId, PushNo, RetrievalId};
-use crate::inputs::{Input, NewPart, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind, Standing};
+use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
+use crate::inputs::{Input, NewPart, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind};
 use crate::prescription::{EffectKind, FurtherBudget, Prescription};
 use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
 use crate::state::Stage::{self, Answered, Asking, Between, Over, Overdue, Taken};
@@ -79,13 +79,11 @@
 
 /// What a push's end tells: what became of the effect, whether it is harm that counts as pressure,
 /// whether the node is to blame, and whether its process looks down.
-struct End(PushEnd, Fate, Harm, Blame, Down);
-type Harm = bool;
-type Blame = bool;
-type Down = bool;
+struct End(PushEnd, Fate, bool, bool, bool);
 
 #[rustfmt::skip]
 const ENDS: &[End] = &[
+    //  end                    effect            harm   blame  down
     End(PushEnd::Finished,     Fate::MayHaveRun, false, false, false),
     End(PushEnd::Errored,      Fate::MayHaveRun, false, true,  false),
     End(PushEnd::Full,         Fate::NeverRan,   true,  true,  false),
@@ -138,8 +136,10 @@
     /// Takes in all that was heard, in order, and tells what to do at this same moment.
     pub fn turn(&mut self, now: Tenths, inputs: &[Input]) -> Vec<Effect> {
         self.s.now = now;
-        self.s.average = self.average_latency();
-        self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
+        self.s.average = self.s.mean_latency();
+        if self.s.nodes.values().filter(|n| n.latency.is_some()).count() * 2 >= self.s.nodes.len() {
+            self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
+        }
         self.close_books();
         for input in inputs {
             self.hear(input);
@@ -327,12 +327,11 @@
 
     /// A decline where asking again is harmless, else a scrapping.
     fn give_up(&mut self, r: &mut Retrieval) {
-        let limits = &self.prescription.limits;
+        let (limits, goal) = (&self.prescription.limits, self.row(r).goal);
         let never_ran =
             r.parts.iter().flat_map(|p| &p.pushes).all(|p| matches!(p.fate, Fate::NeverRan | Fate::Void));
         let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && r.first_whole.is_none();
-        let stay_away =
-            if limits.stay_away { self.row(r).goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
+        let stay_away = if limits.stay_away { goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
         self.s.effects.push(match harmless {
             true => Effect::Decline { retrieval: r.id, stay_away },
             false => Effect::Scrap { retrieval: r.id },
@@ -386,18 +385,12 @@
         self.s.out_at_turn = (self.s.tickets.len() + self.s.wanted.len()) as f64;
         for id in std::mem::take(&mut self.s.wanted) {
             let Some((mut r, at)) = self.s.lift(id) else { continue };
-            let rid = r.id;
-            let wanted = r.stage == Asking && r.parts[at].stage == PartStage::Wanted;
-            let barred = wanted && !r.parts[at].pushes.is_empty() && !self.may_push_again(&r, at, true);
-            if barred {
-                // It waited so long that another push is no longer harmless.
-                let out = r.parts[at].out() > 0;
-                r.parts[at].stage = if out { PartStage::Out } else { PartStage::Lost };
-            } else if wanted {
+            if r.stage == Asking && r.parts[at].stage == PartStage::Wanted {
                 self.push(&mut r, at);
             }
+            let (rid, lost) = (r.id, r.parts[at].stage == PartStage::Lost);
             self.s.put(r);
-            if barred {
+            if lost {
                 self.signal(rid, PartLost);
             }
         }
@@ -407,26 +400,24 @@
     fn push(&mut self, r: &mut Retrieval, at: usize) {
         let now = self.s.now;
         let (goal, late_life) = (self.row(r).goal, self.row(r).late_life);
+        let further = !r.parts[at].pushes.is_empty();
+        if further && !self.may_push_again(r, at, true) {
+            // It waited so long that another push is no longer harmless.
+            r.parts[at].stage = if r.parts[at].out() > 0 { PartStage::Out } else { PartStage::Lost };
+            return;
+        }
         let part = &mut r.parts[at];
-        let further = !part.pushes.is_empty();
         let node = self.choose(part).filter(|_| !further || self.further_left());
         let Some(node) = node else {
             // No holder may have it now, or the budget is spent: it waits while that can help.
-            if part.out() > 0 {
-                part.stage = PartStage::Out;
-            } else {
-                self.s.agenda.insert((now + goal.times(AGAIN).max(Tenths(1)), Due::Again(part.id)));
-            }
-            return;
+            part.stage = if part.out() > 0 { PartStage::Out } else { PartStage::Wanted };
+            return self.later(goal, Due::Again(part.id));
         };
         let no = PushNo(part.pushes.len() as u16);
-        if further {
-            self.s.further.push_back((now, part.id, no));
-        }
+        let (id, within_share, out) = (part.id, r.within_share, self.s.out_at_turn);
+        self.s.further.extend(further.then_some((now, id, no)));
         let cold = self.is_cold(node);
         let call = self.s.board(node, self.prescription.layout.per_call, cold);
-        let out = self.s.out_at_turn;
-        let (id, within_share) = (part.id, r.within_share);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out });
@@ -464,6 +455,10 @@
         self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
     }
 
+    fn later(&mut self, goal: Tenths, due: Due) {
+        self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
+    }
+
     /// How long a push is left alone.
     fn patience(&self, goal: Tenths) -> Tenths {
         let (low, high) = PATIENCE_BOUNDS;
@@ -477,29 +472,25 @@
     /// holder looks far faster and nothing is pushed again. Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
-        let limits = &self.prescription.limits;
-        let (copies, may_withdraw) = (limits.copies, limits.may_withdraw);
         let push = &r.parts[at].pushes[no.0 as usize];
         let waits = r.parts[at].stage == PartStage::Out && !r.parts[at].flowing;
         if r.stage == Asking && waits && push.fate == Fate::Out && !push.withdrawn {
-            let now = self.s.now;
-            let (sent, node) = (push.sent, self.s.nodes.get(&push.node));
-            let silent = node.is_none_or(|n| n.heard_at <= sent);
+            let node = self.s.nodes.get(&push.node);
+            let silent = node.is_none_or(|n| n.heard_at <= push.sent);
             let here = node.map_or(self.average(), |n| self.latency(n));
             let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| {
-                there.times(WORTH_MOVING) < here && now + there < r.goal_at && self.further_left()
+                there.times(WORTH_MOVING) < here && self.s.now + there < r.goal_at && self.further_left()
             });
-            let goal = self.row(&r).goal;
-            if again && faster && copies {
+            if again && faster && self.prescription.limits.copies {
                 r.parts[at].stage = PartStage::Wanted;
                 self.s.wanted.push(id);
-            } else if again && faster && may_withdraw {
+            } else if again && faster && self.prescription.limits.may_withdraw {
                 r.parts[at].pushes[no.0 as usize].withdrawn = true;
                 self.s.effects.push(Effect::Withdraw { part: id, push: no });
             } else {
-                self.s.agenda.insert((now + goal.times(AGAIN).max(Tenths(1)), Due::Look(id, no)));
+                self.later(self.row(&r).goal, Due::Look(id, no));
             }
         }
         self.s.put(r);
@@ -559,7 +550,6 @@
     fn learn(&mut self, ticket: &Ticket, outcome: &PushOutcome, end: &End) {
         let (now, average) = (self.s.now, self.average());
         let &End(_, fate, harm, blame, down) = end;
-        let longest = self.rows.iter().map(|row| row.goal).max().unwrap_or(average);
         if fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
             self.count_harm(ticket.within_share, f64::from(u8::from(harm)), 1.0);
             self.fit_room(ticket, outcome.took);
@@ -574,7 +564,7 @@
         if blame && now - outcome.took >= node.failed_at {
             (node.failures, node.failed_at) = ((node.failures + 1).min(16), now);
         }
-        let penalty = average.times(f64::from(1 << node.failures)).min(longest);
+        let penalty = average.times(f64::from(1 << node.failures)).min(ticket.goal);
         let sample = if blame { outcome.took.max(penalty) } else { outcome.took };
         let old = node.latency.unwrap_or(sample);
         (node.latency, node.sampled_at) = (Some(old + (sample - old).times(NEWEST)), now);
@@ -635,13 +625,6 @@
         self.s.average.unwrap_or(shortest.times(GUESS)).max(Tenths(1))
     }
 
-    fn average_latency(&self) -> Option<Tenths> {
-        let ready = self.s.nodes.values().filter(|n| n.standing == Standing::Ready);
-        let heard: Vec<i64> = ready.filter_map(|n| n.latency).map(|l| l.0).collect();
-        let enough = !heard.is_empty() && heard.len() * 2 >= self.s.nodes.len();
-        enough.then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
-    }
-
     fn is_cold(&self, id: NodeId) -> bool {
         let warm_after = self.prescription.rules.warm_after;
         self.s.nodes[&id].started.is_some_and(|at| self.s.now - at < warm_after)
@@ -705,8 +688,7 @@
     // ---- figures
 
     fn row(&self, r: &Retrieval) -> &CategoryRow {
-        let CategoryNo(no) = r.category;
-        &self.rows[no as usize]
+        &self.rows[r.category.0 as usize]
     }
 
     fn is_whole(&self, r: &Retrieval) -> bool {
@@ -728,10 +710,7 @@
     /// its caller's share is not judged by the harm that callers beyond theirs come to: one caller's
     /// storm would else lift the pressure of all.
     fn pressure(&self, within_share: bool) -> f64 {
-        let [all, within] = self.s.pressure.each_ref().map(|gauge| {
-            let heard = gauge.all.read(self.s.now, SPAN).max(1.0 / START);
-            gauge.harmed.read(self.s.now, SPAN) / heard
-        });
+        let [all, within] = self.s.pressure.each_ref().map(|g| g.share(self.s.now, SPAN, 1.0 / START));
         if within_share { within } else { within.max(all) }
     }
 
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -248,7 +248,21 @@
     }
 }
 
+impl Gauge {
+    /// The harmed part of all, or of `least` where all is less.
+    pub fn share(&self, now: Tenths, span: Tenths, least: f64) -> f64 {
+        self.harmed.read(now, span) / self.all.read(now, span).max(least)
+    }
+}
+
 impl Instance {
+    /// The mean of the smoothed latencies of the ready nodes that were heard of.
+    pub fn mean_latency(&self) -> Option<Tenths> {
+        let ready = self.nodes.values().filter(|node| node.standing == Standing::Ready);
+        let heard: Vec<i64> = ready.filter_map(|node| node.latency).map(|l| l.0).collect();
+        (!heard.is_empty()).then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
+    }
+
     pub fn hold(&mut self, r: Retrieval) {
         self.groups.insert(r.group, r.id);
         self.fresh.insert(r.id);
