--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -228,7 +228,7 @@
     }
 
     fn leads_on(&mut self, r: &Retrieval) -> bool {
-        self.row(r).two_steps && r.first_whole.is_none()
+        self.row(r).two_steps && !r.second_step
     }
 
     /// Guards against queues that outgrow the goal time, whatever fills them: a retrieval is turned
@@ -309,14 +309,13 @@
     fn answer(&mut self, r: &mut Retrieval) {
         let whole = self.is_whole(r);
         self.s.effects.push(Effect::Answer { retrieval: r.id, whole });
-        if r.first_whole.is_none() && self.row(r).two_steps {
-            r.first_whole = Some(whole);
-        }
+        r.first_whole |= whole && !r.second_step;
     }
 
     fn clear_parts(&mut self, r: &mut Retrieval) {
         self.call_off(r);
         self.s.drop_parts(r);
+        r.second_step = true;
     }
 
     fn stop_asking(&mut self, r: &mut Retrieval) {
@@ -330,7 +329,7 @@
         let (limits, goal) = (&self.prescription.limits, self.row(r).goal);
         let never_ran =
             r.parts.iter().flat_map(|p| &p.pushes).all(|p| matches!(p.fate, Fate::NeverRan | Fate::Void));
-        let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && r.first_whole.is_none();
+        let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && !r.second_step;
         let stay_away = if limits.stay_away { goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
         self.s.effects.push(match harmless {
             true => Effect::Decline { retrieval: r.id, stay_away },
@@ -341,25 +340,22 @@
     // ---- taking on
 
     fn take(&mut self, new: &NewRetrieval) {
-        let (id, group, category, now) = (new.id, new.group, new.category, self.s.now);
+        let NewRetrieval { id, group, category, caller, time_left } = *new;
+        let now = self.s.now;
         let Some(row) = self.rows.get(category.0 as usize) else {
-            self.s.effects.push(Effect::Scrap { retrieval: id });
-            return;
+            return self.s.effects.push(Effect::Scrap { retrieval: id });
         };
         let turns = self.prescription.period.times(2.0);
-        let goal_at = now + row.goal.min(new.time_left) - row.goal.times(GOAL_MARGIN) - turns;
-        let cut_off_at = now + new.time_left - turns.times(2.0);
-        let rate = self.s.callers.entry(new.caller).or_default();
+        let goal_at = now + row.goal.min(time_left) - row.goal.times(GOAL_MARGIN) - turns;
+        let cut_off_at = now + time_left - turns.times(2.0);
+        let rate = self.s.callers.entry(caller).or_default();
         rate.add(now, SPAN, 1.0);
         // A caller's share is split evenly over the brokers: this one sees no other's traffic.
-        let within_share = self.prescription.callers.get(new.caller.0 as usize).is_none_or(|caller| {
+        let within_share = self.prescription.callers.get(caller.0 as usize).is_none_or(|caller| {
             let mine = caller.quota_per_s / f64::from(self.prescription.brokers.max(1));
             rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
         });
-        let (stage, first_whole, parts) = (Taken, None, Vec::new());
-        let r =
-            Retrieval { id, group, category, within_share, stage, goal_at, cut_off_at, first_whole, parts };
-        self.s.hold(r);
+        self.s.hold(Retrieval::taken(id, group, category, within_share, goal_at, cut_off_at));
         self.s.taken.push_back(now);
     }
 
@@ -693,15 +689,15 @@
 
     fn is_whole(&self, r: &Retrieval) -> bool {
         let all_in = r.parts.iter().all(|p| p.stage == PartStage::In);
-        match r.first_whole {
-            None => r.weight(&[PartStage::In]) + ROUNDING >= self.row(r).whole,
-            Some(first) => first && all_in,
+        match r.second_step {
+            false => r.weight(&[PartStage::In]) + ROUNDING >= self.row(r).whole,
+            true => r.first_whole && all_in,
         }
     }
 
     fn reaches_least(&self, r: &Retrieval, sum: f64) -> bool {
         let row = self.row(r);
-        let need = if r.first_whole.is_some() && row.least >= row.whole { 1.0 } else { row.least };
+        let need = if r.second_step && row.least >= row.whole { 1.0 } else { row.least };
         sum + ROUNDING >= need
     }
 
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -100,8 +100,9 @@
     pub stage: Stage,
     pub goal_at: Tenths,
     pub cut_off_at: Tenths,
-    /// The second step's first answer, whole or not; none in the first step.
-    pub first_whole: Option<bool>,
+    pub second_step: bool,
+    /// The first step's answer was whole.
+    pub first_whole: bool,
     pub parts: Vec<Part>,
 }
 
@@ -225,6 +226,30 @@
 // What follows keeps the books; it decides nothing.
 
 impl Retrieval {
+    /// As it is taken, before its parts are in hand.
+    pub fn taken(
+        id: RetrievalId,
+        group: GroupNo,
+        category: CategoryNo,
+        within_share: bool,
+        goal_at: Tenths,
+        cut_off_at: Tenths,
+    ) -> Retrieval {
+        let (stage, second_step, first_whole, parts) = (Stage::Taken, false, false, Vec::new());
+        Retrieval {
+            id,
+            group,
+            category,
+            within_share,
+            stage,
+            goal_at,
+            cut_off_at,
+            second_step,
+            first_whole,
+            parts,
+        }
+    }
+
     /// The weight of the parts at these stages.
     pub fn weight(&self, stages: &[PartStage]) -> f64 {
         self.parts.iter().filter(|p| stages.contains(&p.stage)).map(|p| p.weight).sum()
--- /dev/null
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -0,0 +1,310 @@
+//! Plays the scenarios of `scenarios/*.txt`; `scenarios/README.md` tells their notation.
+
+use barleydrum::*;
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::PathBuf;
+
+type Words<'a> = Vec<&'a str>;
+
+/// The value behind `key=` in a line, or what stands for none.
+fn value<T: std::str::FromStr>(words: &Words, key: &str, none: T) -> T {
+    let found = words.iter().find_map(|word| word.strip_prefix(key)?.strip_prefix('='));
+    found.map_or(none, |text| text.parse().unwrap_or_else(|_| panic!("{key}={text}")))
+}
+
+fn span(words: &Words, key: &str, none: f64) -> Tenths {
+    Tenths::from_ms(value(words, key, none))
+}
+
+fn id(name: &str) -> u64 {
+    name.bytes().fold(0, |id, byte| id << 8 | u64::from(byte))
+}
+
+#[derive(Default)]
+struct Play {
+    prescription: Prescription,
+    names: Vec<String>,
+    broker: Option<Broker>,
+    now: Tenths,
+    wakes: BTreeSet<Tenths>,
+    inputs: Vec<Input>,
+    /// All done since the last moment, as the notation puts it.
+    done: Vec<String>,
+    pushes: BTreeMap<PartId, Vec<(NodeId, Tenths, bool)>>,
+    parts: BTreeMap<PartId, RetrievalId>,
+    open: BTreeSet<RetrievalId>,
+    barred: BTreeSet<NodeId>,
+    /// Retrievals that have a second step to come.
+    leading_on: BTreeSet<RetrievalId>,
+}
+
+impl Play {
+    fn new() -> Play {
+        let mut prescription = Prescription { brokers: 1, period: Tenths(50), ..Prescription::default() };
+        prescription.layout = Layout { cells: 1, reach: 1, shards: 1, per_call: 1 };
+        (prescription.limits.most_open, prescription.limits.most_pushes) = (1000, 3);
+        Play { prescription, ..Play::default() }
+    }
+
+    fn statement(&mut self, words: Words) {
+        let p = &mut self.prescription;
+        match words[0] {
+            "brokers" => p.brokers = words[1].parse().unwrap(),
+            "category" => {
+                self.names.push(words[1].to_owned());
+                p.categories.push(Category {
+                    goal_time: span(&words, "goal", 1000.0),
+                    cut_off: span(&words, "cut-off", 3000.0),
+                    payoff: value(&words, "payoff", 1.0),
+                    late_share: value(&words, "late", 0.0),
+                    partial_share: 0.9,
+                    least_share: value(&words, "least", 1.0),
+                    whole_from: value(&words, "whole", 1.0),
+                    second_parts: value(&words, "second", 0),
+                    effect: match value(&words, "kind", String::new()).as_str() {
+                        "numbered" => EffectKind::Numbered,
+                        "at-most-once" => EffectKind::AtMostOnce,
+                        _ => EffectKind::Reissuable,
+                    },
+                    repeat_window: span(&words, "window", 0.0),
+                });
+            }
+            "caller" => p.callers.push(Caller { quota_per_s: words[1].parse().unwrap() }),
+            "layout" => {
+                p.layout = Layout {
+                    cells: value(&words, "cells", 1),
+                    reach: value(&words, "reach", 1),
+                    shards: value(&words, "shards", 1),
+                    per_call: value(&words, "per-call", 1),
+                }
+            }
+            "limits" => {
+                p.limits.most_pushes = value(&words, "pushes", 3);
+                p.limits.most_open = value(&words, "open", 1000);
+                (p.limits.copies, p.limits.may_withdraw) =
+                    (words.contains(&"copies"), words.contains(&"withdraw"));
+            }
+            "rules" => {
+                p.rules.cold_share = value(&words, "cold", 0.2);
+                p.rules.warm_after = span(&words, "warm", 10_000.0);
+                p.rules.fall_multiple = value(&words, "multiple", 3.0);
+                p.rules.fall_window = span(&words, "window", 1000.0);
+                p.rules.ask_within = span(&words, "ask-within", 10_000.0);
+                p.roll_on_request = words.contains(&"roll-on-request");
+                p.late_scrap_price = value(&words, "late-scrap", 0.05);
+            }
+            "budget" => {
+                let (floor, share) = (value(&words, "floor", 0.0), value(&words, "share", 0.0));
+                p.rules.further =
+                    Some(FurtherBudget { floor, share, window: span(&words, "window", 1000.0) });
+            }
+            "at" => self.go_to(Tenths::from_ms(words[1].trim_end_matches(':').parse().unwrap())),
+            ">" => {
+                self.turn();
+                let wanted: Words = words[1..].to_vec();
+                let fits = |done: &String| {
+                    let done: Words = done.split(' ').collect();
+                    wanted.len() <= done.len()
+                        && wanted.iter().zip(&done).all(|(a, b)| a.split('|').any(|a| a == *b || a == "*"))
+                };
+                if wanted[0] == "no" {
+                    let wanted = &wanted[1..].join(" ");
+                    assert!(
+                        !self.done.iter().any(|done| done.starts_with(wanted)),
+                        "{wanted} in {:?}",
+                        self.done
+                    );
+                } else if wanted[0] == "count" {
+                    let found = self.done.iter().filter(|done| done.starts_with(wanted[1])).count();
+                    assert_eq!(found.to_string(), wanted[2], "{} in {:?}", wanted[1], self.done);
+                } else {
+                    assert!(self.done.iter().any(fits), "{wanted:?} not in {:?}", self.done);
+                }
+            }
+            _ => self.hear(words),
+        }
+    }
+
+    fn hear(&mut self, words: Words) {
+        self.done.clear();
+        let input = match words[0] {
+            "roll" if words[1] == "failed" => Input::RollFailed,
+            "roll" => {
+                let kind = match words[1] {
+                    "full" => RollKind::Full,
+                    "remembered" => RollKind::Remembered,
+                    _ => RollKind::Changes,
+                };
+                let entries = words[2..].iter().map(|word| {
+                    let mut fields = word.split(':');
+                    let node = NodeId(id(fields.next().unwrap()));
+                    let cell = CellNo(fields.next().unwrap().parse().unwrap());
+                    let standing = match fields.next() {
+                        Some("draining") => Standing::Draining,
+                        Some("gone") => Standing::Gone,
+                        _ => Standing::Ready,
+                    };
+                    match standing {
+                        Standing::Ready => self.barred.remove(&node),
+                        _ => self.barred.insert(node),
+                    };
+                    let started = fields.next().map(|ms| Tenths::from_ms(ms.parse().unwrap()));
+                    RollEntry { node, zone: ZoneNo(0), cell, standing, started }
+                });
+                Input::Roll(Roll { kind, entries: entries.collect() })
+            }
+            "take" => {
+                let (rid, group) = (RetrievalId(id(words[1])), GroupNo(id(words[1]) as u32));
+                let category = self.names.iter().position(|name| name == words[2]).unwrap_or(99);
+                let (category, caller) = (CategoryNo(category as u16), CallerNo(value(&words, "caller", 0)));
+                let time_left = span(&words, "left", 3000.0);
+                self.open.insert(rid);
+                if self.prescription.categories.get(category.0 as usize).is_some_and(|c| c.second_parts > 0) {
+                    self.leading_on.insert(rid);
+                }
+                self.inputs.push(Input::Retrieval(NewRetrieval {
+                    id: rid,
+                    group,
+                    category,
+                    caller,
+                    time_left,
+                }));
+                return self.parts(rid, &words);
+            }
+            "more" => return self.parts(RetrievalId(id(words[1])), &words),
+            "left" => {
+                self.open.remove(&RetrievalId(id(words[1])));
+                Input::CallerLeft(RetrievalId(id(words[1])))
+            }
+            "flowing" => Input::Flowing(PartId(id(words[1]))),
+            "end" => return self.end(words[1], words[2]),
+            other => panic!("`{other}` is not a word of the notation"),
+        };
+        self.inputs.push(input);
+    }
+
+    /// Parts, as `name:shard:weight`.
+    fn parts(&mut self, rid: RetrievalId, words: &Words) {
+        for word in words.iter().filter(|word| word.contains(':')) {
+            let fields: Words = word.split(':').collect();
+            let (part, group) = (PartId(id(fields[0])), GroupNo(rid.0 as u32));
+            let (shard, weight) = (ShardNo(fields[1].parse().unwrap()), fields[2].parse().unwrap());
+            self.parts.insert(part, rid);
+            self.inputs.push(Input::Part(NewPart { id: part, group, shard, weight }));
+        }
+    }
+
+    /// Ends the newest push that is out of a part, of all parts, or all that are out at `@node`.
+    fn end(&mut self, which: &str, how: &str) {
+        let end = match how {
+            "finished" => PushEnd::Finished,
+            "errored" => PushEnd::Errored,
+            "full" => PushEnd::Full,
+            "timed-out" => PushEnd::TimedOut,
+            "no-connection" => PushEnd::NoConnection,
+            "dropped" => PushEnd::Dropped,
+            "withdrawn" => PushEnd::Withdrawn,
+            "not-sent" => PushEnd::NotSent,
+            other => panic!("`{other}` is no end"),
+        };
+        let before = self.inputs.len();
+        for (part, pushes) in &mut self.pushes {
+            for (no, (node, sent, out)) in pushes.iter_mut().enumerate().rev() {
+                let meant =
+                    which == "all" || id(which) == part.0 || which.strip_prefix('@').map(id) == Some(node.0);
+                if *out && meant {
+                    *out = false;
+                    let (part, push, took) = (*part, PushNo(no as u16), self.now - *sent);
+                    self.inputs.push(Input::Outcome(PushOutcome { part, push, node: *node, end, took }));
+                    if id(which) == part.0 {
+                        break;
+                    }
+                }
+            }
+        }
+        assert!(self.inputs.len() > before || which == "all", "{which} has nothing out");
+    }
+
+    /// Plays the wake-ups up to a moment, then stands at it.
+    fn go_to(&mut self, at: Tenths) {
+        self.turn();
+        self.done.clear();
+        while let Some(wake) = self.wakes.first().copied().filter(|wake| *wake < at) {
+            self.wakes.remove(&wake);
+            self.now = self.now.max(wake);
+            self.inputs.push(Input::Woken);
+            self.turn();
+        }
+        self.now = at;
+        if self.wakes.remove(&at) {
+            self.inputs.push(Input::Woken);
+        }
+    }
+
+    fn turn(&mut self) {
+        let (prescription, now) = (&self.prescription, self.now);
+        let new = self.broker.is_none();
+        let broker = self.broker.get_or_insert_with(|| Broker::start(prescription.clone(), 1, now));
+        if self.inputs.is_empty() && !new {
+            return;
+        }
+        let inputs = std::mem::take(&mut self.inputs);
+        for effect in broker.turn(now, &inputs) {
+            self.note(effect);
+        }
+    }
+
+    /// Puts an effect into the notation, and holds it against the rules that every scenario keeps.
+    fn note(&mut self, effect: Effect) {
+        let name = |id: u64| {
+            let bytes: Vec<u8> = id.to_be_bytes().into_iter().filter(|byte| *byte != 0).collect();
+            String::from_utf8(bytes).unwrap()
+        };
+        let closing = match &effect {
+            Effect::Answer { retrieval, .. } if self.leading_on.remove(retrieval) => None,
+            Effect::Answer { retrieval, .. }
+            | Effect::Decline { retrieval, .. }
+            | Effect::Scrap { retrieval } => Some(*retrieval),
+            _ => None,
+        };
+        if let Some(retrieval) = closing {
+            assert!(self.open.remove(&retrieval), "a second final answer for {}", name(retrieval.0));
+        }
+        self.done.push(match effect {
+            Effect::Push { part, node, time_out } => {
+                assert!(self.open.contains(&self.parts[&part]), "{} sent after the end", name(part.0));
+                assert!(!self.barred.contains(&node), "{} sent to {}", name(part.0), name(node.0));
+                self.pushes.entry(part).or_default().push((node, self.now, true));
+                format!("push {} {} {}", name(part.0), name(node.0), time_out.as_ms())
+            }
+            Effect::Withdraw { part, push } => format!("withdraw {} {}", name(part.0), push.0),
+            Effect::Answer { retrieval, whole } => {
+                format!("answer {} {}", name(retrieval.0), if whole { "whole" } else { "partial" })
+            }
+            Effect::Decline { retrieval, .. } => format!("decline {}", name(retrieval.0)),
+            Effect::Scrap { retrieval } => format!("scrap {}", name(retrieval.0)),
+            Effect::Wake { after } => {
+                self.wakes.insert(self.now + after);
+                "wake".to_owned()
+            }
+            Effect::FollowRoll => "follow".to_owned(),
+            Effect::Say(line) => format!("say {line}"),
+        });
+    }
+}
+
+#[rstest]
+fn plays(#[files("tests/scenarios/*.txt")] path: PathBuf) {
+    let text = std::fs::read_to_string(&path).unwrap();
+    let mut play = Play::new();
+    for statement in text.lines().flat_map(|line| line.split('#').next().unwrap_or("").split(';')) {
+        let words: Words = statement.split_whitespace().collect();
+        if !words.is_empty() {
+            play.statement(words);
+        }
+    }
+    // Whatever happens next, nothing that is open may stay so.
+    play.go_to(play.now + Tenths(100_000));
+    assert!(play.open.is_empty(), "left open: {:?}", play.open);
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -2,6 +2,8 @@
 
 mod host;
 mod settings;
+#[cfg(test)]
+mod tests;
 mod wire;
 
 use std::io::{self, Read, Write};
--- /dev/null
+++ b/crates/wirehost/src/tests.rs
@@ -0,0 +1,128 @@
+//! The wire's frames, whole and broken.
+
+use crate::host::Host;
+use crate::wire::{BadFrame, Event, HEADER, Reply, read_body, read_header};
+use crate::{serve, settings};
+use barleydrum::*;
+use rstest::rstest;
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<u8> = hex.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap()).collect()
+}
+
+const KNOCK: &str = "12 0300 c4913a5d5daf0900 0000 00000000 640ad2557c3bf091 0000000000006e40
+    0000000000002840 00005643 00000000 0000003e 01";
+const LIST: &str = "1a 0000 02000000 0a124a07 931f 0000 0000 0000 01 0000803f 0000000000000000
+    0a9011f2 bc1f 0100 0000 0000 01 0000c03f 0000000000d4b740";
+const FINISHED: &str = "14 0300 c4913a5d5daf0900 0000 0a124a07 931f 0100 0000000000803240 01 03
+    0000404000000c430000e040";
+const SETTINGS: &str = r#"{"Instances": 1, "PeriodMs": 5.0, "RegistryMode": "automatic", "Surprise": [1],
+    "Services": [{"OnTimeMs": 2000.0, "DeadlineMs": 5000.0, "Worth": 3.0, "Effect": "deduplicated"}],
+    "Domain": {"Cells": 1, "Reach": 1, "Ranges": 1, "CompleteFrom": [1.0], "MinShare": [0.4]},
+    "Limits": {"MaxAttempts": 3, "MaxOpen": 111}, "Rules": {}}"#;
+
+fn body(records: &[&str]) -> Vec<u8> {
+    let mut body = (records.len() as u32).to_le_bytes().to_vec();
+    records.iter().for_each(|record| body.extend(bytes(record)));
+    body
+}
+
+fn frame(records: &[&str]) -> Vec<u8> {
+    let body = body(records);
+    [&bytes("00000000206ec040")[..], &(body.len() as u32).to_le_bytes(), &body].concat()
+}
+
+fn start(text: &str) -> String {
+    let hex: String = text.bytes().map(|byte| format!("{byte:02x}")).collect();
+    let length: String = (text.len() as u32).to_le_bytes().iter().map(|b| format!("{b:02x}")).collect();
+    format!("10 0300 0700000000000000 {length} {hex}")
+}
+
+#[rstest]
+fn decodes_the_examples() {
+    let header: [u8; HEADER] = bytes("00000000206ec040 50000000").try_into().unwrap();
+    assert_eq!(read_header(&header), (Tenths(84_122), 80));
+    let batch = read_body(Tenths(1), &body(&[KNOCK, LIST, FINISHED, "16 0300 4d00000000000000"])).unwrap();
+    let [
+        Event::Heard { broker: 3, input: Input::Part(part) },
+        Event::List { number: 0, entries },
+        Event::Heard { input: Input::Outcome(outcome), .. },
+        Event::Heard { input: Input::Woken, .. },
+    ] = &batch.events[..]
+    else {
+        panic!("{:?}", batch.events)
+    };
+    assert_eq!((part.id, part.shard, part.weight), (PartId(0x9_af5d_5d3a_91c4), ShardNo(0), 0.125));
+    assert_eq!((entries[0].started, entries[1].started), (None, Some(Tenths(61_000))));
+    assert_eq!((entries[1].node, entries[1].zone), (NodeId(0x1fbc_f211_900a), ZoneNo(1)));
+    assert_eq!((outcome.end, outcome.took, outcome.node), (PushEnd::Finished, Tenths(185), entries[0].node));
+}
+
+#[rstest]
+#[case(Effect::Push { part: PartId(0x9_af5d_5d3a_91c4), node: NodeId(0x1f93_074a_120a), time_out: Tenths(800) },
+    "50 0300 c4913a5d5daf0900 0a124a07 931f 0000000000005440")]
+#[case(Effect::Say("two servers unknown".into()), "58 0300 1300 74776f207365727665727320756e6b6e6f776e")]
+#[case(Effect::Wake { after: Tenths(5000) }, "54 0300 0000000000000000 0000000000407f40")]
+#[case(Effect::Answer { retrieval: RetrievalId(1), whole: true }, "5c 0300 0100000000000000 01")]
+#[case(Effect::FollowRoll, "5a 0300 01")]
+fn encodes(#[case] effect: Effect, #[case] record: &str) {
+    let mut reply = Reply::default();
+    reply.effect(3, &effect);
+    let record = bytes(record);
+    let length = (record.len() as u32 + 4).to_le_bytes();
+    assert_eq!(reply.frame(), [&length[..], &bytes("01000000"), &record].concat());
+}
+
+#[rstest]
+#[case("00", "field cut short", HEADER)]
+#[case("01000000 63", "event code 99 is unknown", 16)]
+#[case("01000000 12 0300 c4", "field cut short", 19)]
+#[case("01000000 10 0300 0700000000000000 ffffffff 7b", "count of 4294967295 overruns", 31)]
+#[case("01000000 1a 0000 ffffffff", "field cut short", 23)]
+#[case("ffffffff", "field cut short", 16)]
+#[case("00000000 16", "1 bytes are left over", 16)]
+fn tells_what_is_broken(#[case] body: &str, #[case] what: &str, #[case] at: usize) {
+    let Err(BadFrame { what: told, at: place }) = read_body(Tenths(0), &bytes(body)) else {
+        panic!("it was read")
+    };
+    assert!(told.starts_with(what), "{told}");
+    assert_eq!(place, at);
+}
+
+#[rstest]
+fn serves_until_the_input_ends() {
+    let mut output = Vec::new();
+    let alarm = "16 0300 4d00000000000000";
+    let input =
+        [frame(&[]), frame(&[&start(SETTINGS), alarm]), frame(&["19 0300", &start(SETTINGS)])].concat();
+    assert_eq!(serve(&input[..], &mut output), Ok(()));
+    assert_eq!(output[..8], bytes("04000000 00000000"));
+    assert_eq!(
+        serve(&frame(&[])[..9], &mut output),
+        Err("the input ends at byte 9 of a frame's header".into())
+    );
+    assert_eq!(serve(&frame(&[])[..14], &mut output), Err("the input ends at byte 14 of a frame".into()));
+    assert!(serve(&frame(&[alarm])[..], &mut output).unwrap_err().contains("broker 3, which is not running"));
+}
+
+#[rstest]
+#[case("no text", "settings: expected")]
+#[case(&SETTINGS.replace("Ranges", "Rages"), "missing field `Ranges`")]
+#[case(&SETTINGS.replace("deduplicated", "doubtful"), "`Effect` is `doubtful`")]
+#[case(&SETTINGS.replace("\"MinShare\": [0.4]", "\"MinShare\": []"), "`MinShare` is too short")]
+fn says_which_setting_is_amiss(#[case] text: &str, #[case] why: &str) {
+    assert!(settings::read(text.as_bytes()).unwrap_err().contains(why));
+    let batch = read_body(Tenths(0), &body(&[&start(text)])).unwrap();
+    let reply = Host::default().play(batch).unwrap().frame();
+    assert_eq!(reply[8..11], bytes("59 0300"), "the broker says that it cannot go on");
+}
+
+#[rstest]
+fn reads_the_settings() {
+    let read = settings::read(SETTINGS.as_bytes()).unwrap();
+    assert_eq!((read.period, read.limits.most_open, read.roll_on_request), (Tenths(50), 111, false));
+    let category = &read.categories[0];
+    assert_eq!((category.effect, category.least_share), (EffectKind::Numbered, 0.4));
+    assert!(read.rules.further.is_none());
+}
