--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -37,7 +37,7 @@
 /// Room for parts out follows the latency of parts: it aims at this share of the goal time, grows at
 /// most by this factor in the time of one part, and only where it was used to this share; the least
 /// payoffs and callers beyond their share get the two shares below of it.
-const ROOM_TARGET: f64 = 0.33;
+const ROOM_TARGET: f64 = 0.25;
 const ROOM_GROW: f64 = 1.5;
 const CROWDED: f64 = 0.5;
 const ROOM_FOR_ALL: f64 = 0.75;
@@ -237,9 +237,7 @@
     /// grow again. What is turned away counts as refused, so pressure rises and the cut sets in.
     /// Harm: one that a lucky replica would have answered in time is turned away.
     fn no_room(&mut self, r: &Retrieval) -> bool {
-        let row = self.row(r);
-        let share = ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * row.value;
-        let room = self.s.room * share * if r.within_share { 1.0 } else { ROOM_BEYOND };
+        let room = self.room_for(r);
         let need = self.plan(r, true).len();
         let out = self.s.tickets.len();
         let lost: f64 = r.parts.iter().filter(|p| self.hopeless(r, p)).map(|p| p.weight).sum();
@@ -250,6 +248,11 @@
         refused
     }
 
+    fn room_for(&self, r: &Retrieval) -> f64 {
+        let share = ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * self.row(r).value;
+        self.s.room * share * if r.within_share { 1.0 } else { ROOM_BEYOND }
+    }
+
     // ---- acts
 
     /// Sends what the design's cut leaves, or the least share where there is no room for more.
@@ -396,7 +399,7 @@
     fn push(&mut self, r: &mut Retrieval, at: usize) {
         let now = self.s.now;
         let (goal, late_life) = (self.row(r).goal, self.row(r).late_life);
-        let further = !r.parts[at].pushes.is_empty();
+        let (further, room) = (!r.parts[at].pushes.is_empty(), self.room_for(r));
         if further && !self.may_push_again(r, at, true) {
             // It waited so long that another push is no longer harmless.
             r.parts[at].stage = if r.parts[at].out() > 0 { PartStage::Out } else { PartStage::Lost };
@@ -411,12 +414,13 @@
         };
         let no = PushNo(part.pushes.len() as u16);
         let (id, within_share, out) = (part.id, r.within_share, self.s.out_at_turn);
+        let crowded = out >= room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
         let cold = self.is_cold(node);
         let call = self.s.board(node, self.prescription.layout.per_call, cold);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
-        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out });
+        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded });
         let mut life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         if !self.prescription.limits.copies && !self.prescription.limits.may_withdraw {
             // Nothing but a time-out can end it in time for another.
@@ -580,7 +584,7 @@
         let room = self.s.room;
         let ratio = ticket.goal.times(ROOM_TARGET).over(took).min(ROOM_GROW);
         let fits = if ratio < 1.0 { ticket.out.min(room) * ratio } else { room * ratio };
-        if ratio < 1.0 || ticket.out >= room * CROWDED {
+        if ratio < 1.0 || ticket.crowded {
             self.s.room = (room + (fits - room) / room.max(1.0 / START)).clamp(1.0, most);
         }
     }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -40,6 +40,8 @@
     pub goal: Tenths,
     /// Parts out after the turn in which it was sent.
     pub out: f64,
+    /// They used much of the room that this one had.
+    pub crowded: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
