--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -30,6 +30,9 @@
 const PATIENCE_BOUNDS: (f64, f64) = (0.2, 0.5);
 /// A push is made again elsewhere only where that looks this many times as fast.
 const WORTH_MOVING: f64 = 2.0;
+/// A part is out of reach where its best holder's latency times this passes the goal time: single
+/// parts spread that far about a smoothed latency.
+const SPREAD: f64 = 1.5;
 /// A waiting part tries again after this share of its goal time.
 const AGAIN: f64 = 0.05;
 /// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
@@ -297,7 +300,7 @@
     }
 
     fn hopeless(&self, r: &Retrieval, part: &Part) -> bool {
-        self.wait_for(part).is_some_and(|wait| self.s.now + wait > r.goal_at)
+        self.wait_for(part).is_some_and(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
     }
 
     /// Sends the heaviest unsent parts that make up for what was lost.
