A retrieval waits for room for a fifth of its goal time before it is turned away

Cause: large retrievals come in lumps, and what was turned away would have fitted a moment later. It should also help against short stalls of many nodes; it harms where what waits is turned away all the same.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -6,7 +6,7 @@
 
 use crate::effects::Effect;
 use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
-use crate::inputs::{Input, NewPart, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind};
+use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome};
 use crate::prescription::{EffectKind, FurtherBudget, Prescription};
 use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
 use crate::state::Stage::{self, Answered, Asking, Between, Over, Overdue, Taken};
@@ -45,6 +45,8 @@
 const CROWDED: f64 = 0.5;
 const ROOM_FOR_ALL: f64 = 0.75;
 const ROOM_BEYOND: f64 = 0.5;
+/// A retrieval waits for room for this share of its goal time at the most.
+const WAIT: f64 = 0.2;
 /// Answers leave before the goal time by two turns and this share of it.
 const GOAL_MARGIN: f64 = 0.02;
 /// The first wait before the roll is asked for again, as a share of the time it may be silent.
@@ -61,7 +63,8 @@
 /// act. The first row that fits is taken; where none fits, nothing happens.
 #[rustfmt::skip]
 const TABLE: &[Row] = &[
-    Row(&[Taken],    Ready,      Broker::no_room,       Over,     Broker::give_up),
+    Row(&[Taken],    Ready,      Broker::may_wait,      Taken,    Broker::wait),
+    Row(&[Taken],    Ready,      Broker::no_room,       Over,     Broker::turn_away),
     Row(&[Taken],    Ready,      |_, _| true,           Asking,   Broker::ask),
     Row(&[Between],  Ready,      |_, _| true,           Asking,   Broker::ask),
     Row(&[Asking],   PartIn,     Broker::complete,      Answered, Broker::answer),
@@ -162,10 +165,10 @@
 
     fn hear(&mut self, input: &Input) {
         match input {
-            Input::Roll(roll) => self.read_roll(roll),
+            Input::Roll(roll) => self.s.read_roll(roll),
             Input::RollFailed => self.roll_failed(),
             Input::Retrieval(new) => self.take(new),
-            Input::Part(new) => self.take_part(new),
+            Input::Part(new) => self.s.add_part(new),
             Input::Flowing(part) => self.s.bind(part),
             Input::Outcome(outcome) => self.push_ended(outcome),
             Input::CallerLeft(id) => self.signal(*id, CallerLeft),
@@ -179,6 +182,7 @@
             Due::CutOff(id) => self.signal(id, CutOffNear),
             Due::Look(part, push) => self.look_after(part, push),
             Due::Again(part) => self.s.wanted.push(part),
+            Due::Room(id) => self.signal(id, Ready),
             Due::FollowRoll => self.follow_roll(),
         }
     }
@@ -234,21 +238,21 @@
         self.row(r).two_steps && !r.second_step
     }
 
-    /// Guards against queues that outgrow the goal time, whatever fills them: a retrieval is turned
-    /// away when even its least share would pass the room. What pays most, within its caller's
-    /// share, may use all of the room. With nothing out, one is always taken, so that the room can
-    /// grow again. What is turned away counts as refused, so pressure rises and the cut sets in.
+    /// Guards against queues that outgrow the goal time, whatever fills them: a retrieval waits, and
+    /// is then turned away, while even its least share would pass the room, or is out of reach. What
+    /// pays most, within its caller's share, may use all of the room. With nothing out, one is always
+    /// taken, so that the room can grow again.
     /// Harm: one that a lucky replica would have answered in time is turned away.
     fn no_room(&mut self, r: &Retrieval) -> bool {
-        let room = self.room_for(r);
-        let need = self.plan(r, true).len();
-        let out = self.s.tickets.len();
         let lost: f64 = r.parts.iter().filter(|p| self.hopeless(r, p)).map(|p| p.weight).sum();
-        let refused = out > 0 && ((out + need) as f64 > room || !self.reaches_least(r, 1.0 - lost));
-        if refused {
-            self.count_harm(r.within_share, need as f64, need as f64);
-        }
-        refused
+        let (out, need) = (self.s.tickets.len(), self.plan(r, true).len());
+        out > 0 && ((out + need) as f64 > self.room_for(r) || !self.reaches_least(r, 1.0 - lost))
+    }
+
+    /// Guards against bursts that are over sooner than they matter. Harm: what is turned away in the
+    /// end has waited in vain.
+    fn may_wait(&mut self, r: &Retrieval) -> bool {
+        r.goal_at - self.s.now > self.row(r).goal.times(1.0 - WAIT) && self.no_room(r)
     }
 
     fn room_for(&self, r: &Retrieval) -> f64 {
@@ -258,6 +262,17 @@
 
     // ---- acts
 
+    fn wait(&mut self, r: &mut Retrieval) {
+        self.later(self.row(r).goal, Due::Room(r.id));
+    }
+
+    /// What is turned away counts as refused, so that pressure rises and the cut sets in.
+    fn turn_away(&mut self, r: &mut Retrieval) {
+        let parts = self.plan(r, true).len() as f64;
+        self.s.count_harm(SPAN, r.within_share, parts, parts);
+        self.give_up(r);
+    }
+
     /// Sends what the design's cut leaves, or the least share where there is no room for more.
     fn ask(&mut self, r: &mut Retrieval) {
         let mut plan = self.plan(r, false);
@@ -362,12 +377,6 @@
             rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
         });
         self.s.hold(Retrieval::taken(id, group, category, within_share, goal_at, cut_off_at));
-        self.s.taken.push_back(now);
-    }
-
-    fn take_part(&mut self, new: &NewPart) {
-        self.s.taken.push_back(self.s.now);
-        self.s.add_part(new);
     }
 
     /// Drops a retrieval's parts, and what they still have out.
@@ -430,7 +439,9 @@
             life = life.min(goal.times(PATIENCE_BOUNDS.1));
         }
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
-        self.s.agenda.insert((now + self.patience(goal), Due::Look(id, no)));
+        let (low, high) = (goal.times(PATIENCE_BOUNDS.0), goal.times(PATIENCE_BOUNDS.1));
+        let patience = self.average().times(PATIENCE).max(low).min(high);
+        self.s.agenda.insert((now + patience, Due::Look(id, no)));
     }
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
@@ -462,12 +473,6 @@
         self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
     }
 
-    /// How long a push is left alone.
-    fn patience(&self, goal: Tenths) -> Tenths {
-        let (low, high) = PATIENCE_BOUNDS;
-        self.average().times(PATIENCE).max(goal.times(low)).min(goal.times(high))
-    }
-
     /// Guards against nodes that take parts and do not answer, for whatever reason (hung, silent,
     /// standing still, cut off, crawling): once patience is up and another holder looks far faster
     /// than this node's latency, which its silence lengthens, the part is pushed there too, or in
@@ -554,7 +559,7 @@
         let (now, average) = (self.s.now, self.average());
         let &End(_, fate, harm, blame, down) = end;
         if fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
-            self.count_harm(ticket.within_share, f64::from(u8::from(harm)), 1.0);
+            self.s.count_harm(SPAN, ticket.within_share, f64::from(u8::from(harm)), 1.0);
             self.fit_room(ticket, outcome.took);
         }
         let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
@@ -592,13 +597,6 @@
         }
     }
 
-    fn count_harm(&mut self, within_share: bool, harmed: f64, all: f64) {
-        for gauge in self.s.pressure.iter_mut().take(1 + usize::from(within_share)) {
-            gauge.harmed.add(self.s.now, SPAN, harmed);
-            gauge.all.add(self.s.now, SPAN, all);
-        }
-    }
-
     // ---- nodes
 
     fn holders<'a>(&'a self, part: &Part) -> impl Iterator<Item = NodeId> + 'a {
@@ -657,13 +655,6 @@
         lately < mine.max(1.0) as usize
     }
 
-    fn read_roll(&mut self, roll: &Roll) {
-        if roll.kind != RollKind::Remembered {
-            (self.s.roll_failures, self.s.roll_silent) = (0, false);
-        }
-        self.s.read_roll(roll);
-    }
-
     // ---- the roll
 
     /// Follows the roll, and comes due again to ask once more where no word has come at all.
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -184,6 +184,8 @@
     CutOff(RetrievalId),
     /// A push's patience is up.
     Look(PartId, PushNo),
+    /// A retrieval that waits for room looks again.
+    Room(RetrievalId),
     /// A waiting part tries again.
     Again(PartId),
     FollowRoll,
@@ -291,6 +293,7 @@
     }
 
     pub fn hold(&mut self, r: Retrieval) {
+        self.taken.push_back(self.now);
         self.groups.insert(r.group, r.id);
         self.fresh.insert(r.id);
         self.agenda.insert((r.goal_at, Due::Goal(r.id)));
@@ -320,6 +323,7 @@
     }
 
     pub fn add_part(&mut self, new: &NewPart) {
+        self.taken.push_back(self.now);
         let Some(id) = self.groups.get(&new.group) else { return };
         let Some(r) = self.retrievals.get_mut(id) else { return };
         self.fresh.insert(*id);
@@ -368,6 +372,9 @@
     }
 
     pub fn read_roll(&mut self, roll: &Roll) {
+        if roll.kind != RollKind::Remembered {
+            (self.roll_failures, self.roll_silent) = (0, false);
+        }
         if roll.kind != RollKind::Changes {
             self.nodes.values_mut().for_each(|node| node.standing = Standing::Gone);
         }
@@ -386,6 +393,14 @@
         }
     }
 
+    /// Adds to both gauges, or to the one over all parts.
+    pub fn count_harm(&mut self, span: Tenths, within_share: bool, harmed: f64, all: f64) {
+        for gauge in self.pressure.iter_mut().take(1 + usize::from(within_share)) {
+            gauge.harmed.add(self.now, span, harmed);
+            gauge.all.add(self.now, span, all);
+        }
+    }
+
     /// One wake-up is under way for the first thing on the agenda.
     pub fn ask_to_be_woken(&mut self) {
         let Some(&(at, _)) = self.agenda.first() else { return };
