--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -28,7 +28,8 @@
 /// Patience with a push, in average latencies, and its bounds as shares of the goal time.
 const PATIENCE: f64 = 3.0;
 const PATIENCE_BOUNDS: (f64, f64) = (0.2, 0.5);
-/// A push is made again elsewhere only where that looks this many times as fast.
+/// A push is made again elsewhere only where that looks this many times as fast; twice as many where
+/// the first must be given up for it.
 const WORTH_MOVING: f64 = 2.0;
 /// A part is out of reach where its best holder's latency times this passes the goal time: single
 /// parts spread that far about a smoothed latency.
@@ -473,11 +474,11 @@
         self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
     }
 
-    /// Guards against nodes that take parts and do not answer, for whatever reason (hung, silent,
-    /// standing still, cut off, crawling): once patience is up and another holder looks far faster
-    /// than this node's latency, which its silence lengthens, the part is pushed there too, or in
-    /// place of the first push where copies are not allowed. Under load that is even all over, no
-    /// holder looks far faster and nothing is pushed again. Harm: work done twice.
+    /// Guards against nodes that take parts and do not answer, whatever the reason (hung, silent,
+    /// standing still, cut off): once patience is up, the node has answered nothing since, and another
+    /// holder looks far faster than its silence, the part is pushed there too, or in place of the
+    /// first push where copies are not allowed; that loses the first answer, so more is asked.
+    /// Under load that is even all over nothing moves. Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
         let push = &r.parts[at].pushes[no.0 as usize];
@@ -487,9 +488,10 @@
             let silent = node.is_none_or(|n| n.heard_at <= push.sent);
             let here = node.map_or(self.average(), |n| self.latency(n));
             let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
+            let times = WORTH_MOVING * if self.prescription.limits.copies { 1.0 } else { 2.0 };
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| {
-                there.times(WORTH_MOVING) < here && self.s.now + there < r.goal_at && self.further_left()
+                there.times(times) < here && self.s.now + there < r.goal_at && self.further_left()
             });
             if again && faster && self.prescription.limits.copies {
                 r.parts[at].stage = PartStage::Wanted;
@@ -604,9 +606,14 @@
         ids.flatten().copied()
     }
 
-    /// The latency that a part must expect at its best holder; none where no node holds it now.
+    /// The latency that a part must expect at its best holder; none where no node holds it now. A
+    /// sound holder with nothing of this broker's out counts as at once: a slow pair of holders is
+    /// used for what it can do, rather than all that touches it turned away.
     fn wait_for(&self, part: &Part) -> Option<Tenths> {
-        self.holders(part).map(|id| self.latency(&self.s.nodes[&id])).min()
+        let nodes = self.holders(part).map(|id| &self.s.nodes[&id]);
+        nodes
+            .map(|n| if n.calls.is_empty() && n.failures == 0 { Tenths::ZERO } else { self.latency(n) })
+            .min()
     }
 
     /// Smoothed latency. What was heard long ago fades toward the average, so that a node in doubt
