--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -183,6 +183,7 @@
             Due::CutOff(id) => self.signal(id, CutOffNear),
             Due::Look(part, push) => self.look_after(part, push),
             Due::Again(part) => self.s.wanted.push(part),
+            Due::Halfway(id) => self.signal(id, PartIn),
             Due::Room(id) => self.signal(id, Ready),
             Due::FollowRoll => self.follow_roll(),
         }
@@ -211,9 +212,12 @@
 
     // ---- guards
 
-    /// All that was sent has come to its end, or enough is in for the whole.
+    /// All that was sent has come to its end, or enough is in for the whole, or for a first step that
+    /// has had half of the goal time.
     fn complete(&mut self, r: &Retrieval) -> bool {
-        self.has_least(r) && (self.is_whole(r) || r.weight(&[PartStage::Wanted, PartStage::Out]) == 0.0)
+        let halfway = self.leads_on(r) && self.s.now + self.row(r).goal.times(0.5) >= r.goal_at;
+        let settled = r.weight(&[PartStage::Wanted, PartStage::Out]) == 0.0;
+        self.has_least(r) && (self.is_whole(r) || settled || halfway)
     }
 
     fn has_least(&mut self, r: &Retrieval) -> bool {
@@ -370,6 +374,8 @@
         let turns = self.prescription.period.times(2.0);
         let goal_at = now + row.goal.min(time_left) - row.goal.times(GOAL_MARGIN) - turns;
         let cut_off_at = now + time_left - turns.times(2.0);
+        let halfway = row.two_steps.then_some((goal_at - row.goal.times(0.5), Due::Halfway(id)));
+        self.s.agenda.extend(halfway);
         let rate = self.s.callers.entry(caller).or_default();
         rate.add(now, SPAN, 1.0);
         // A caller's share is split evenly over the brokers: this one sees no other's traffic.
@@ -681,9 +687,7 @@
         let at = self.s.now + wait.times(0.5 + self.rng.f64());
         self.s.roll_silent = true;
         self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
-        if self.prescription.roll_on_request {
-            self.s.agenda.insert((at, Due::FollowRoll));
-        }
+        self.s.agenda.insert((at, Due::FollowRoll));
     }
 
     // ---- figures
@@ -694,10 +698,8 @@
 
     fn is_whole(&self, r: &Retrieval) -> bool {
         let all_in = r.parts.iter().all(|p| p.stage == PartStage::In);
-        match r.second_step {
-            false => r.weight(&[PartStage::In]) + ROUNDING >= self.row(r).whole,
-            true => r.first_whole && all_in,
-        }
+        let enough = r.weight(&[PartStage::In]) + ROUNDING >= self.row(r).whole;
+        if r.second_step { r.first_whole && all_in } else { enough }
     }
 
     fn reaches_least(&self, r: &Retrieval, sum: f64) -> bool {
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -184,6 +184,8 @@
     CutOff(RetrievalId),
     /// A push's patience is up.
     Look(PartId, PushNo),
+    /// A first step has had half of the goal time.
+    Halfway(RetrievalId),
     /// A retrieval that waits for room looks again.
     Room(RetrievalId),
     /// A waiting part tries again.
