Room by what a retrieval earns, in one rule for categories and callers

Two rules did the same: a share of the room by payoff, and half of it beyond a caller's share. Now the payoff beyond the share, which the settings state, goes into the one rule, and half is for all. Harm: where payoffs lie far apart, the lowest category is turned away first.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -39,13 +39,12 @@
 /// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
 const OWN_FURTHER: f64 = 0.25;
 /// Room for parts out follows the latency of parts: it aims at this share of the goal time, grows at
-/// most by this factor in the time of one part, and only where it was used to this share; the least
-/// payoffs and callers beyond their share get the two shares below of it.
+/// most by this factor in the time of one part, and only where it was used to this share. All may use
+/// `ROOM_FOR_ALL` of it, and the rest as far as they pay, measured by what pays best.
 const ROOM_TARGET: f64 = 0.25;
 const ROOM_GROW: f64 = 1.5;
 const CROWDED: f64 = 0.5;
-const ROOM_FOR_ALL: f64 = 0.75;
-const ROOM_BEYOND: f64 = 0.5;
+const ROOM_FOR_ALL: f64 = 0.5;
 /// A retrieval waits for room for this share of its goal time at the most.
 const WAIT: f64 = 0.2;
 /// Answers leave before the goal time by two turns and this share of it.
@@ -261,8 +260,8 @@
     }
 
     fn room_for(&self, r: &Retrieval) -> f64 {
-        let share = ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * self.row(r).value;
-        self.s.room * share * if r.within_share { 1.0 } else { ROOM_BEYOND }
+        let earns = if r.within_share { 1.0 } else { self.prescription.over_share_payoff };
+        self.s.room * (ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * self.row(r).value * earns)
     }
 
     // ---- acts
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -32,8 +32,6 @@
     pub payoff: f64,
     /// The part of the payoff that an answer after the goal time earns.
     pub late_share: f64,
-    /// The part of the payoff that a partial answer earns, beside its share.
-    pub partial_share: f64,
     /// The least weight an answer may hold.
     pub least_share: f64,
     /// The weight from which an answer is whole.
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -58,7 +58,6 @@
                     cut_off: span(&words, "cut-off", 3000.0),
                     payoff: value(&words, "payoff", 1.0),
                     late_share: value(&words, "late", 0.0),
-                    partial_share: 0.9,
                     least_share: value(&words, "least", 1.0),
                     whole_from: value(&words, "whole", 1.0),
                     second_parts: value(&words, "second", 0),
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -50,8 +50,6 @@
     complete_from: Vec<f64>,
     min_share: Vec<f64>,
     #[serde(default)]
-    class_partial: Vec<f64>,
-    #[serde(default)]
     fetch_parts: Vec<u32>,
 }
 
@@ -113,7 +111,6 @@
             cut_off: Tenths::from_ms(service.deadline_ms),
             payoff: service.worth,
             late_share: service.late_share,
-            partial_share: text.domain.class_partial.get(at).copied().unwrap_or(1.0),
             least_share: *least,
             whole_from: *whole,
             second_parts: text.domain.fetch_parts.get(at).copied().unwrap_or(0),
