--- a/crates/barleydrum/src/inputs.rs
+++ b/crates/barleydrum/src/inputs.rs
@@ -72,6 +72,8 @@
     pub caller: CallerNo,
     /// How long its caller will wait.
     pub time_left: Tenths,
+    /// The work of all its parts, roughly, where that is told; else none.
+    pub work: Tenths,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -2,7 +2,7 @@
 //! been heard and carry out what comes back. What it hears is in `inputs.rs`, what it does in
 //! `effects.rs`, what it is handed at start in `prescription.rs`, what it remembers in `state.rs`;
 //! `docs/design.md` tells why. Read `TABLE` first: it is the life of a retrieval. `ENDS` tells what
-//! each end of a push means. Everything else is a guard or an act that these two name.
+//! each end of a push means. The rest are their guards and acts, and what those ask of the figures.
 
 use crate::effects::Effect;
 use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
@@ -116,6 +116,8 @@
         let best = p.categories.iter().map(|c| c.payoff).fold(f64::MIN_POSITIVE, f64::max);
         let rows = p.categories.iter().map(|c| CategoryRow {
             goal: c.goal_time.min(c.cut_off),
+            stretch: c.goal_stretch,
+            cut_off: c.cut_off,
             late_life: (c.cut_off - c.goal_time).max(Tenths::ZERO).times(c.late_share),
             late_pays: c.late_share > p.late_scrap_price,
             least: c.least_share.min(c.whole_from),
@@ -369,13 +371,14 @@
     }
 
     fn take(&mut self, new: &NewRetrieval) {
-        let NewRetrieval { id, group, category, caller, time_left } = *new;
+        let NewRetrieval { id, group, category, caller, time_left, work } = *new;
         let now = self.s.now;
         let Some(row) = self.rows.get(category.0 as usize) else {
             return self.s.effects.push(Effect::Scrap { retrieval: id });
         };
         let turns = self.prescription.period.times(2.0);
-        let goal_at = now + row.goal.min(time_left) - row.goal.times(GOAL_MARGIN) - turns;
+        let goal = (row.goal + work.times(row.stretch)).min(row.cut_off).min(time_left);
+        let goal_at = now + goal - row.goal.times(GOAL_MARGIN) - turns;
         let cut_off_at = now + time_left - turns.times(2.0);
         let halfway = row.two_steps.then_some((goal_at - row.goal.times(0.5), Due::Halfway(id)));
         self.s.agenda.extend(halfway);
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -28,6 +28,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Category {
     pub goal_time: Tenths,
+    /// Extra goal time, as a multiple of the work that a retrieval is expected to be.
+    pub goal_stretch: f64,
     pub cut_off: Tenths,
     pub payoff: f64,
     /// The part of the payoff that an answer after the goal time earns.
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -162,6 +162,8 @@
 /// What a category's row holds, worked out once from the prescription.
 pub struct CategoryRow {
     pub goal: Tenths,
+    pub stretch: f64,
+    pub cut_off: Tenths,
     /// How long after its goal a push may still be of use.
     pub late_life: Tenths,
     /// An answer after the goal time is worth waiting for.
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -55,6 +55,7 @@
                 self.names.push(words[1].to_owned());
                 p.categories.push(Category {
                     goal_time: span(&words, "goal", 1000.0),
+                    goal_stretch: value(&words, "stretch", 0.0),
                     cut_off: span(&words, "cut-off", 3000.0),
                     payoff: value(&words, "payoff", 1.0),
                     late_share: value(&words, "late", 0.0),
@@ -157,7 +158,7 @@
                 let (rid, group) = (RetrievalId(id(words[1])), GroupNo(id(words[1]) as u32));
                 let category = self.names.iter().position(|name| name == words[2]).unwrap_or(99);
                 let (category, caller) = (CategoryNo(category as u16), CallerNo(value(&words, "caller", 0)));
-                let time_left = span(&words, "left", 3000.0);
+                let (time_left, work) = (span(&words, "left", 3000.0), span(&words, "work", 0.0));
                 self.open.insert(rid);
                 if self.prescription.categories.get(category.0 as usize).is_some_and(|c| c.second_parts > 0) {
                     self.leading_on.insert(rid);
@@ -168,6 +169,7 @@
                     category,
                     caller,
                     time_left,
+                    work,
                 }));
                 return self.parts(rid, &words);
             }
--- a/crates/wirehost/src/settings.rs
+++ b/crates/wirehost/src/settings.rs
@@ -30,6 +30,8 @@
 #[serde(rename_all = "PascalCase")]
 struct Service {
     on_time_ms: f64,
+    #[serde(default)]
+    aim_stretch: f64,
     deadline_ms: f64,
     worth: f64,
     #[serde(default)]
@@ -108,6 +110,7 @@
         let whole = text.domain.complete_from.get(at).ok_or("settings: `CompleteFrom` is too short")?;
         Ok(Category {
             goal_time: Tenths::from_ms(service.on_time_ms),
+            goal_stretch: service.aim_stretch,
             cut_off: Tenths::from_ms(service.deadline_ms),
             payoff: service.worth,
             late_share: service.late_share,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -158,10 +158,10 @@
         let (id, category, caller) = (self.u64()?, CategoryNo(self.u16()?), CallerNo(self.u32()?));
         let _key = self.u64()?;
         let time_left = self.span()?;
-        let _hint = self.f64()?;
+        let hint = self.span()?;
         let group = GroupNo(self.f32()?.to_bits());
         let (slice, heft) = (self.f32()?, self.f32()?);
-        let _options = self.u8()?;
+        let work = if self.u8()? & 1 == 1 { hint } else { Tenths::ZERO };
         if slice < 0.0 {
             return Ok(Input::Retrieval(NewRetrieval {
                 id: RetrievalId(id),
@@ -169,6 +169,7 @@
                 category,
                 caller,
                 time_left,
+                work,
             }));
         }
         let shard = ShardNo(slice as u32);
