No longer a line waits for room than would fill the room once more

Cause: in a drill with 150 retrievals at once all of them waited, most of them in vain; the rest of the line is now turned away at once.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -258,10 +258,12 @@
         out > 0 && ((out + need) as f64 > self.room_for(r) || !self.reaches_least(r, 1.0 - lost))
     }
 
-    /// Guards against bursts that are over sooner than they matter. Harm: what is turned away in the
-    /// end has waited in vain.
+    /// Guards against bursts that are over sooner than they matter: a line that would fill the room
+    /// once more may wait, no longer one. Harm: what is turned away in the end has waited in vain.
     fn may_wait(&mut self, r: &Retrieval) -> bool {
-        r.goal_at - self.s.now > self.row(r).goal.times(1.0 - WAIT) && self.no_room(r)
+        let line = ((self.s.waiting.len() + 1) * r.parts.len()) as f64;
+        let short = self.s.waiting.contains(&r.id) || line <= self.s.room;
+        short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - WAIT) && self.no_room(r)
     }
 
     fn room_for(&self, r: &Retrieval) -> f64 {
@@ -272,6 +274,7 @@
     // ---- acts
 
     fn wait(&mut self, r: &mut Retrieval) {
+        self.s.waiting.insert(r.id);
         self.later(self.row(r).goal, Due::Room(r.id));
     }
 
@@ -696,8 +699,6 @@
         self.s.agenda.insert((at, Due::FollowRoll));
     }
 
-    // ---- figures
-
     fn row(&self, r: &Retrieval) -> &CategoryRow {
         &self.rows[r.category.0 as usize]
     }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -210,6 +210,8 @@
     pub woken_at: Option<Tenths>,
     /// Retrievals that got parts in this turn.
     pub fresh: BTreeSet<RetrievalId>,
+    /// Retrievals that wait for room.
+    pub waiting: BTreeSet<RetrievalId>,
     /// Parts to be sent this turn, in order.
     pub wanted: Vec<PartId>,
     pub next_call: CallNo,
@@ -306,6 +308,9 @@
     }
 
     pub fn put(&mut self, r: Retrieval) {
+        if r.stage != Stage::Taken {
+            self.waiting.remove(&r.id);
+        }
         self.retrievals.insert(r.id, r);
     }
 
@@ -318,6 +323,7 @@
     pub fn let_go(&mut self, r: &Retrieval) {
         r.parts.iter().for_each(|part| _ = self.parts.remove(&part.id));
         self.groups.remove(&r.group);
+        self.waiting.remove(&r.id);
         self.agenda.remove(&(r.goal_at, Due::Goal(r.id)));
         self.agenda.remove(&(r.cut_off_at, Due::CutOff(r.id)));
     }
