--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -23,7 +23,7 @@
 const ROUNDING: f64 = 0.00005;
 /// A new latency counts for this share of a node's smoothed one.
 const NEWEST: f64 = 0.25;
-/// Before anything was heard, a part is taken to last this share of the shortest goal time.
+/// Before anything was heard, a part lasts this share of the shortest goal time.
 const GUESS: f64 = 0.125;
 /// Patience with a push, in average latencies, and its bounds as shares of the goal time.
 const PATIENCE: f64 = 3.0;
@@ -367,10 +367,8 @@
             r.parts.iter().flat_map(|p| &p.pushes).all(|p| matches!(p.fate, Fate::NeverRan | Fate::Void));
         let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && !r.second_step;
         let stay_away = if limits.stay_away { goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
-        self.s.effects.push(match harmless {
-            true => Effect::Decline { retrieval: r.id, stay_away },
-            false => Effect::Scrap { retrieval: r.id },
-        });
+        let (retrieval, scrap) = (r.id, Effect::Scrap { retrieval: r.id });
+        self.s.effects.push(if harmless { Effect::Decline { retrieval, stay_away } } else { scrap });
     }
 
     fn take(&mut self, new: &NewRetrieval) {
@@ -449,11 +447,10 @@
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded });
-        let mut life = (r.goal_at + late_life).min(r.cut_off_at) - now;
-        if !self.prescription.limits.copies && !self.prescription.limits.may_withdraw {
-            // Nothing but a time-out can end it in time for another.
-            life = life.min(goal.times(PATIENCE_BOUNDS.1));
-        }
+        // Without copies or withdrawals nothing but a time-out can end it in time for another.
+        let stuck = !self.prescription.limits.copies && !self.prescription.limits.may_withdraw;
+        let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
+        let life = if stuck { life.min(goal.times(PATIENCE_BOUNDS.1)) } else { life };
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         let (low, high) = (goal.times(PATIENCE_BOUNDS.0), goal.times(PATIENCE_BOUNDS.1));
         let patience = self.average().times(PATIENCE).max(low).min(high);
