Payoff goes by the part, slow zones show at all nodes, idle connections are doubted

Change: room and further pushes by payoff a part (over the least share, over the whole); a copy once another holder looks faster than the silence; unheard nodes count as their zone's average; idle connections closed while those kept through a lull lose pushes.

Also guards against: a slow way between zones. Harm: handshakes while time-outs have another cause; zones that differ for good draw the traffic apart.

--- a/crates/barleydrum/src/effects.rs
+++ b/crates/barleydrum/src/effects.rs
@@ -16,6 +16,8 @@
     Decline { retrieval: RetrievalId, stay_away: Tenths },
     /// End the retrieval without an answer.
     Scrap { retrieval: RetrievalId },
+    /// Close this broker's idle connections to a node.
+    CloseIdle { node: NodeId },
     /// Be woken after this time.
     Wake { after: Tenths },
     /// Ask to be sent the roll's changes from now on.
--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -6,11 +6,11 @@
 
 use crate::effects::Effect;
 use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
-use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome};
+use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind};
 use crate::prescription::{EffectKind, FurtherBudget, Prescription};
 use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
 use crate::state::Stage::{self, Answered, Asking, Between, Over, Overdue, Taken};
-use crate::state::{CategoryRow, Due, Fate, Instance, Node, Part, PartStage, Push, Retrieval, Ticket};
+use crate::state::{CategoryRow, Due, Fate, Instance, Line, Node, Part, PartStage, Push, Retrieval, Ticket};
 use crate::time::Tenths;
 
 /// The design page's figures: score below which a part stays unsent, the base's ceiling, the
@@ -19,20 +19,22 @@
 const FULL_BASE: f64 = 10.0;
 const START: f64 = 0.1;
 const SPAN: Tenths = Tenths(50_000);
+/// The span over which connections lost after a lull are counted.
+const LONG: Tenths = Tenths(300_000);
 /// Weights are told with this much rounding at the most (half of what an answer may fall short).
 const ROUNDING: f64 = 0.00005;
 /// A new latency counts for this share of a node's smoothed one.
 const NEWEST: f64 = 0.25;
 /// Before anything was heard, a part lasts this share of the shortest goal time.
 const GUESS: f64 = 0.125;
+/// As many nodes of a zone must be heard of before their mean outweighs that of all.
+const ZONE_FROM: usize = 4;
 /// Patience with a push, in average latencies, and its bounds as shares of the goal time.
 const PATIENCE: f64 = 3.0;
 const PATIENCE_BOUNDS: (f64, f64) = (0.2, 0.5);
-/// A push is made again elsewhere only where that looks this many times as fast; twice as many where
-/// the first must be given up for it.
-const WORTH_MOVING: f64 = 2.0;
-/// A part is out of reach where its best holder's latency times this passes the goal time: single
-/// parts spread that far about a smoothed latency.
+/// Where the first push must be given up for it, one is made elsewhere only if that looks so much faster.
+const IN_PLACE: f64 = 4.0;
+/// Single parts spread this far about a smoothed latency; past the goal time they are out of reach.
 const SPREAD: f64 = 1.5;
 /// A waiting part tries again after this share of its goal time.
 const AGAIN: f64 = 0.05;
@@ -69,7 +71,6 @@
     Row(&[Between],  Ready,      |_, _| true,           Asking,   Broker::ask),
     Row(&[Asking],   PartIn,     Broker::complete,      Answered, Broker::answer),
     Row(&[Asking],   PartLost,   Broker::complete,      Answered, Broker::answer),
-    Row(&[Asking],   PartLost,   Broker::can_mend,      Asking,   Broker::mend),
     Row(&[Asking],   PartLost,   Broker::beyond_hope,   Over,     Broker::give_up),
     Row(&[Asking],   GoalNear,   Broker::has_least,     Answered, Broker::answer),
     Row(&[Asking],   GoalNear,   Broker::late_is_worth, Overdue,  Broker::stop_asking),
@@ -113,7 +114,6 @@
     /// A broker that has just started and knows nothing but its prescription.
     pub fn start(prescription: Prescription, seed: u64, now: Tenths) -> Broker {
         let p = &prescription;
-        let best = p.categories.iter().map(|c| c.payoff).fold(f64::MIN_POSITIVE, f64::max);
         let rows = p.categories.iter().map(|c| CategoryRow {
             goal: c.goal_time.min(c.cut_off),
             stretch: c.goal_stretch,
@@ -125,19 +125,14 @@
             two_steps: c.second_parts > 0,
             effect: c.effect,
             repeat_window: c.repeat_window,
-            pushes: 1 + (p.limits.most_pushes.max(1) as f64 - 1.0).mul_add(c.payoff / best, 0.5) as usize,
-            value: c.payoff / best,
+            payoff: c.payoff,
         });
         // A broker's own restraint where none is stated: one node's outage must not double the load.
         let own = FurtherBudget { floor: p.limits.most_pushes.into(), share: OWN_FURTHER, window: SPAN };
-        let mut s = Instance { now, ..Instance::default() };
-        if p.roll_on_request {
-            s.agenda.insert((now, Due::FollowRoll));
-        }
-        s.roll_silent = true;
-        s.room = f64::from(p.limits.most_open) * CROWDED;
-        let rows = rows.collect();
-        let further = p.rules.further.clone().unwrap_or(own);
+        let room = f64::from(p.limits.most_open) * CROWDED;
+        let mut s = Instance { now, roll_silent: true, room, ..Instance::default() };
+        s.agenda.extend(p.roll_on_request.then_some((now, Due::FollowRoll)));
+        let (rows, further) = (rows.collect(), p.rules.further.clone().unwrap_or(own));
         Broker { rows, further, rng: fastrand::Rng::with_seed(seed), s, prescription }
     }
 
@@ -145,7 +140,7 @@
     pub fn turn(&mut self, now: Tenths, inputs: &[Input]) -> Vec<Effect> {
         self.s.now = now;
         self.s.average = self.s.mean_latency();
-        if self.s.nodes.values().filter(|n| n.latency.is_some()).count() * 2 >= self.s.nodes.len() {
+        if self.s.ready_heard * 2 >= self.s.ready {
             self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
         }
         // Rule 6 in any window: taken is counted over one shorter by two turns, further over a longer.
@@ -170,7 +165,7 @@
 
     fn hear(&mut self, input: &Input) {
         match input {
-            Input::Roll(roll) => self.s.read_roll(roll),
+            Input::Roll(roll) => self.read_roll(roll),
             Input::RollFailed => self.roll_failed(),
             Input::Retrieval(new) => self.take(new),
             Input::Part(new) => self.s.add_part(new),
@@ -203,7 +198,7 @@
         }
         match r.stage {
             Over => {
-                self.call_off(&r);
+                self.s.withdraw_all(&r, self.prescription.limits.may_withdraw);
                 self.s.let_go(&r);
             }
             Answered => {
@@ -228,12 +223,6 @@
         self.reaches_least(r, r.weight(&[PartStage::In]))
     }
 
-    /// Unsent light parts can stand in for lost ones.
-    fn can_mend(&mut self, r: &Retrieval) -> bool {
-        let all = r.weight(&[PartStage::Unsent, PartStage::Wanted, PartStage::Out, PartStage::In]);
-        self.beyond_hope(r) && self.reaches_least(r, all)
-    }
-
     /// Even if all that is out comes in, it is less than the least share.
     fn beyond_hope(&mut self, r: &Retrieval) -> bool {
         !self.reaches_least(r, r.weight(&[PartStage::Wanted, PartStage::Out, PartStage::In]))
@@ -248,14 +237,16 @@
     }
 
     /// Guards against queues that outgrow the goal time, whatever fills them: a retrieval waits, and
-    /// is then turned away, while even its least share would pass the room, or is out of reach. What
-    /// pays most, within its caller's share, may use all of the room. With nothing out, one is always
-    /// taken, so that the room can grow again.
+    /// is then turned away, while even its least share would pass the room, or is out of reach. With
+    /// nothing out, one is always taken, however wide, so that the room can grow again.
     /// Harm: one that a lucky replica would have answered in time is turned away.
     fn no_room(&mut self, r: &Retrieval) -> bool {
         let lost: f64 = r.parts.iter().filter(|p| self.hopeless(r, p)).map(|p| p.weight).sum();
         let (out, need) = (self.s.tickets.len(), self.plan(r, true).len());
-        out > 0 && ((out + need) as f64 > self.room_for(r) || !self.reaches_least(r, 1.0 - lost))
+        let (payoff, least) = (self.row(r).payoff, self.row(r).least);
+        let pays = payoff * least / need.max(1) as f64;
+        self.s.note_pays(r.category, [pays, payoff / r.parts.len().max(1) as f64], NEWEST);
+        out > 0 && ((out + need) as f64 > self.room_for(r, pays) || !self.reaches_least(r, 1.0 - lost))
     }
 
     /// Guards against bursts that are over sooner than they matter: a line that would fill the room
@@ -266,9 +257,11 @@
         short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - WAIT) && self.no_room(r)
     }
 
-    fn room_for(&self, r: &Retrieval) -> f64 {
+    /// The room for what pays so much for each part that it sends.
+    fn room_for(&self, r: &Retrieval, pays: f64) -> f64 {
         let earns = if r.within_share { 1.0 } else { self.prescription.over_share_payoff };
-        self.s.room * (ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * self.row(r).value * earns)
+        let best = self.s.pays.values().map(|p| p[0]).fold(pays, f64::max).max(f64::MIN_POSITIVE);
+        self.s.room * (ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * earns * pays / best)
     }
 
     // ---- acts
@@ -288,10 +281,9 @@
     /// Sends what the design's cut leaves, or the least share where there is no room for more.
     fn ask(&mut self, r: &mut Retrieval) {
         let (least, partial) = (self.row(r).least, self.row(r).least < self.row(r).whole);
-        let room = (self.s.room as usize).saturating_sub(self.s.tickets.len());
-        let mut sent = 0.0;
+        let (mut sent, out) = (0.0, self.s.tickets.len());
         for (count, at) in self.plan(r, false).into_iter().enumerate() {
-            if !partial || count < room || sent + ROUNDING < least {
+            if !partial || out + count < self.s.room as usize || sent + ROUNDING < least {
                 sent += r.parts[at].weight;
                 r.parts[at].stage = PartStage::Wanted;
                 self.s.wanted.push(r.parts[at].id);
@@ -301,8 +293,7 @@
 
     /// The design's ordinary path: parts by told weight, score = weight x B^-rank, none sent that
     /// scores under `CUT`, and never less than the least share; with `least_only`, no more than that.
-    /// Parts of even weight share a rank (the count of heavier ones): else many small even parts
-    /// would collapse to a few as soon as B passes 1.
+    /// Parts of even weight share a rank, else many of them would collapse to a few as B passes 1.
     /// A part that no holder can bring in goal time counts as cut: else a hot or dead shard's heavy
     /// part keeps its rank and is sent for nothing while light ones are trimmed.
     fn plan(&mut self, r: &Retrieval, least_only: bool) -> Vec<usize> {
@@ -333,15 +324,6 @@
         self.wait_for(part).is_some_and(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
     }
 
-    /// Sends the heaviest unsent parts that make up for what was lost.
-    fn mend(&mut self, r: &mut Retrieval) {
-        while self.beyond_hope(r) {
-            let Some(part) = r.parts.iter_mut().find(|p| p.stage == PartStage::Unsent) else { break };
-            part.stage = PartStage::Wanted;
-            self.s.wanted.push(part.id);
-        }
-    }
-
     fn answer(&mut self, r: &mut Retrieval) {
         let whole = self.is_whole(r);
         self.s.effects.push(Effect::Answer { retrieval: r.id, whole });
@@ -349,7 +331,7 @@
     }
 
     fn clear_parts(&mut self, r: &mut Retrieval) {
-        self.call_off(r);
+        self.s.withdraw_all(r, self.prescription.limits.may_withdraw);
         self.s.drop_parts(r);
         r.second_step = true;
     }
@@ -363,8 +345,8 @@
     /// A decline where asking again is harmless, else a scrapping.
     fn give_up(&mut self, r: &mut Retrieval) {
         let (limits, goal) = (&self.prescription.limits, self.row(r).goal);
-        let never_ran =
-            r.parts.iter().flat_map(|p| &p.pushes).all(|p| matches!(p.fate, Fate::NeverRan | Fate::Void));
+        let mut fates = r.parts.iter().flat_map(|p| &p.pushes).map(|push| push.fate);
+        let never_ran = fates.all(|fate| matches!(fate, Fate::NeverRan | Fate::Void));
         let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && !r.second_step;
         let stay_away = if limits.stay_away { goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
         let (retrieval, scrap) = (r.id, Effect::Scrap { retrieval: r.id });
@@ -381,8 +363,7 @@
         let goal = (row.goal + work.times(row.stretch)).min(row.cut_off).min(time_left);
         let goal_at = now + goal - row.goal.times(GOAL_MARGIN) - turns;
         let cut_off_at = now + time_left - turns.times(2.0);
-        let halfway = row.two_steps.then_some((goal_at - row.goal.times(0.5), Due::Halfway(id)));
-        self.s.agenda.extend(halfway);
+        self.s.agenda.extend(row.two_steps.then_some((goal_at - row.goal.times(0.5), Due::Halfway(id))));
         let rate = self.s.callers.entry(caller).or_default();
         rate.add(now, SPAN, 1.0);
         // A caller's share is split evenly over the brokers: this one sees no other's traffic.
@@ -393,16 +374,6 @@
         self.s.hold(Retrieval::taken(id, group, category, within_share, goal_at, cut_off_at));
     }
 
-    /// Drops a retrieval's parts, and what they still have out.
-    fn call_off(&mut self, r: &Retrieval) {
-        for part in &r.parts {
-            let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out && !p.withdrawn);
-            for (no, _) in out.filter(|_| self.prescription.limits.may_withdraw && !part.flowing) {
-                self.s.effects.push(Effect::Withdraw { part: part.id, push: PushNo(no as u16) });
-            }
-        }
-    }
-
     // ---- pushes
 
     /// Chooses a node for each wanted part; pushes of one turn to one node share its call.
@@ -425,7 +396,7 @@
     fn push(&mut self, r: &mut Retrieval, at: usize) {
         let now = self.s.now;
         let (goal, late_life) = (self.row(r).goal, self.row(r).late_life);
-        let (further, room) = (!r.parts[at].pushes.is_empty(), self.room_for(r));
+        let further = !r.parts[at].pushes.is_empty();
         if further && !self.may_push_again(r, at, true) {
             // It waited so long that another push is no longer harmless.
             r.parts[at].stage = if r.parts[at].out() > 0 { PartStage::Out } else { PartStage::Lost };
@@ -440,19 +411,18 @@
         };
         let no = PushNo(part.pushes.len() as u16);
         let (id, within_share, out) = (part.id, r.within_share, self.s.out_at_turn);
-        let crowded = out >= room * CROWDED;
+        let crowded = out >= self.s.room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
-        let cold = self.is_cold(node);
+        let (lull, cold) = (self.line_after_lull(node), self.is_cold(node));
         let call = self.s.board(node, self.prescription.layout.per_call, cold);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
-        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded });
+        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
+        let (low, high) = (goal.times(PATIENCE_BOUNDS.0), goal.times(PATIENCE_BOUNDS.1));
         // Without copies or withdrawals nothing but a time-out can end it in time for another.
-        let stuck = !self.prescription.limits.copies && !self.prescription.limits.may_withdraw;
-        let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
-        let life = if stuck { life.min(goal.times(PATIENCE_BOUNDS.1)) } else { life };
+        let movable = self.prescription.limits.copies || self.prescription.limits.may_withdraw;
+        let life = (r.goal_at + late_life).min(if movable { r.cut_off_at } else { now + high }) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
-        let (low, high) = (goal.times(PATIENCE_BOUNDS.0), goal.times(PATIENCE_BOUNDS.1));
         let patience = self.average().times(PATIENCE).max(low).min(high);
         self.s.agenda.insert((now + patience, Due::Look(id, no)));
     }
@@ -461,12 +431,11 @@
     /// turn opens no other. Close calls go to the own zone, then to a call of this turn, then by lot.
     fn choose(&mut self, part: &Part) -> Option<NodeId> {
         let open = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id || p.fate != Fate::Out);
-        let untried = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id);
-        let mut usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
-        if usable.iter().any(untried) {
-            usable.retain(untried);
-        }
-        let scored: Vec<(f64, NodeId)> = usable.iter().map(|id| (self.score(id), *id)).collect();
+        let tried = |id: &NodeId| part.pushes.iter().any(|p| p.node == *id);
+        let usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
+        let all_tried = usable.iter().all(tried);
+        let worth = usable.iter().filter(|id| all_tried || !tried(id));
+        let scored: Vec<(f64, NodeId)> = worth.map(|id| (self.score(id), *id)).collect();
         let best = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
         let close = scored.iter().filter(|s| s.0 <= best * (1.0 + START)).map(|s| s.1);
         let zone = self.prescription.zone;
@@ -476,6 +445,24 @@
         Some(tied[self.rng.usize(..tied.len())])
     }
 
+    /// Guards against connections dropped unseen while idle. They look like many sick nodes; what tells
+    /// them apart: pushes after a lull fail on kept connections and not on fresh ones. While a fifth of
+    /// the first do, and the others half as often at the most, idle connections are closed before a push.
+    /// Harm: a handshake each, in time-outs with another cause, until fresh ones are seen to fail as well.
+    fn line_after_lull(&mut self, id: NodeId) -> Option<Line> {
+        let node = &self.s.nodes[&id];
+        let lull = self.s.now - node.heard_at > self.shortest_goal().times(0.5);
+        if !lull || node.heard_at == Tenths::ZERO || !node.calls.is_empty() {
+            return None;
+        }
+        let [kept, fresh] = self.s.lost_lines.each_ref().map(|g| g.share(self.s.now, LONG, 1.0 / START));
+        if kept < 2.0 * START || fresh > kept / 2.0 {
+            return Some(Line::Kept);
+        }
+        self.s.effects.push(Effect::CloseIdle { node: id });
+        Some(Line::Fresh)
+    }
+
     fn score(&self, id: &NodeId) -> f64 {
         let node = &self.s.nodes[id];
         let joins = node.riding.is_some_and(|(_, parts)| parts < self.prescription.layout.per_call);
@@ -488,9 +475,8 @@
 
     /// Guards against nodes that take parts and do not answer, whatever the reason (hung, silent,
     /// standing still, cut off): once patience is up, the node has answered nothing since, and another
-    /// holder looks far faster than its silence, the part is pushed there too, or in place of the
-    /// first push where copies are not allowed; that loses the first answer, so more is asked.
-    /// Under load that is even all over nothing moves. Harm: work done twice.
+    /// holder looks faster than its silence, the part is pushed there too, or in place of the first
+    /// push where copies are not allowed; that loses the first answer. Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
         let push = &r.parts[at].pushes[no.0 as usize];
@@ -499,16 +485,17 @@
             let node = self.s.nodes.get(&push.node);
             let silent = node.is_none_or(|n| n.heard_at <= push.sent);
             let here = node.map_or(self.average(), |n| self.latency(n));
+            let (copies, withdraw) = (self.prescription.limits.copies, self.prescription.limits.may_withdraw);
             let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
-            let times = WORTH_MOVING * if self.prescription.limits.copies { 1.0 } else { 2.0 };
+            let times = if copies { 1.0 } else { IN_PLACE };
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
-            let faster = elsewhere.is_some_and(|there| {
-                there.times(times) < here && self.s.now + there < r.goal_at && self.further_left()
-            });
-            if again && faster && self.prescription.limits.copies {
+            let faster =
+                elsewhere.is_some_and(|there| there.times(times) < here && self.s.now + there < r.goal_at);
+            let moves = again && faster && self.further_left();
+            if moves && copies {
                 r.parts[at].stage = PartStage::Wanted;
                 self.s.wanted.push(id);
-            } else if again && faster && self.prescription.limits.may_withdraw {
+            } else if moves && withdraw {
                 r.parts[at].pushes[no.0 as usize].withdrawn = true;
                 self.s.effects.push(Effect::Withdraw { part: id, push: no });
             } else {
@@ -525,7 +512,10 @@
         let first = ran.map(|p| p.sent).min();
         // The window is measured as if the next push left two turns late.
         let then = self.s.now + self.prescription.period.times(2.0);
-        part.pushes.len() < row.pushes
+        let pays = row.payoff / r.parts.len() as f64;
+        let best = self.s.pays.values().map(|p| p[1]).fold(pays, f64::max).max(f64::MIN_POSITIVE);
+        let further = f64::from(self.prescription.limits.most_pushes.max(1) - 1) * pays / best;
+        part.pushes.len() <= (further + 0.5) as usize
             && match (row.effect, first) {
                 (_, None) | (EffectKind::Reissuable, _) => true,
                 (EffectKind::Numbered, Some(first)) => then - first <= row.repeat_window,
@@ -542,11 +532,10 @@
             self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
         }
         let Some((mut r, at)) = self.s.lift(outcome.part) else { return };
-        let rid = r.id;
+        let (rid, was) = (r.id, r.parts[at].stage);
         if let Some(push) = r.parts[at].pushes.get_mut(outcome.push.0 as usize) {
             push.fate = end.1;
         }
-        let was = r.parts[at].stage;
         let again = r.stage == Asking && self.may_push_again(&r, at, false);
         let stage = match outcome.end {
             _ if was == PartStage::In => PartStage::In,
@@ -572,31 +561,37 @@
     fn learn(&mut self, ticket: &Ticket, outcome: &PushOutcome, end: &End) {
         let (now, average) = (self.s.now, self.average());
         let &End(_, fate, harm, blame, down) = end;
+        if let Some(line) = ticket.lull.filter(|_| fate != Fate::Void) {
+            let silent = self.s.nodes.get(&ticket.node).is_none_or(|n| now - outcome.took >= n.heard_at);
+            let lost = blame || outcome.end == PushEnd::Withdrawn && silent && outcome.took > average;
+            self.s.lost_lines[line as usize].count(now, LONG, f64::from(u8::from(lost)), 1.0);
+        }
         if fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
             self.s.count_harm(SPAN, ticket.within_share, f64::from(u8::from(harm)), 1.0);
             self.fit_room(ticket, outcome.took);
         }
-        let Some(node) = self.s.nodes.get_mut(&ticket.node) else { return };
-        node.leave(ticket.call);
-        let called_off = outcome.end == PushEnd::Withdrawn && node.latency.is_some_and(|l| outcome.took < l);
-        if fate == Fate::Void || called_off {
-            return;
-        }
-        // Those out together fail together: one failure in a row, not many.
-        if blame && now - outcome.took >= node.failed_at {
-            (node.failures, node.failed_at) = ((node.failures + 1).min(16), now);
-        }
-        let penalty = average.times(f64::from(1 << node.failures)).min(ticket.goal);
-        let sample = if blame { outcome.took.max(penalty) } else { outcome.took };
-        let old = node.latency.unwrap_or(sample);
-        (node.latency, node.sampled_at) = (Some(old + (sample - old).times(NEWEST)), now);
-        if outcome.end == PushEnd::Finished {
-            (node.failures, node.heard_at) = (0, now);
-        }
-        if down {
-            // It may come back cold before the roll says so: taken to start when last seen down.
-            node.started = node.started.max(Some(now));
-        }
+        self.s.amend(ticket.node, |node| {
+            node.leave(ticket.call);
+            let early = node.latency.is_some_and(|l| outcome.took < l);
+            if fate == Fate::Void || outcome.end == PushEnd::Withdrawn && early {
+                return;
+            }
+            // Those out together fail together: one failure in a row, not many.
+            if blame && now - outcome.took >= node.failed_at {
+                (node.failures, node.failed_at) = ((node.failures + 1).min(16), now);
+            }
+            let penalty = average.times(f64::from(1 << node.failures)).min(ticket.goal);
+            let sample = if blame { outcome.took.max(penalty) } else { outcome.took };
+            let old = node.latency.unwrap_or(sample);
+            (node.latency, node.sampled_at) = (Some(old + (sample - old).times(NEWEST)), now);
+            if outcome.end == PushEnd::Finished {
+                (node.failures, node.heard_at) = (0, now);
+            }
+            if down {
+                // It may come back cold before the roll says so: taken to start when last seen down.
+                node.started = node.started.max(Some(now));
+            }
+        });
     }
 
     /// Little's law: with so many parts out this one took so long, so at the target latency there is
@@ -622,16 +617,16 @@
     /// sound holder with nothing of this broker's out counts as at once: a slow pair of holders is
     /// used for what it can do, rather than all that touches it turned away.
     fn wait_for(&self, part: &Part) -> Option<Tenths> {
+        let idle = |n: &Node| n.calls.is_empty() && n.failures == 0;
         let nodes = self.holders(part).map(|id| &self.s.nodes[&id]);
-        nodes
-            .map(|n| if n.calls.is_empty() && n.failures == 0 { Tenths::ZERO } else { self.latency(n) })
-            .min()
+        nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) }).min()
     }
 
-    /// Smoothed latency. What was heard long ago fades toward the average, so that a node in doubt
-    /// gets a part to show itself with. Silence since the oldest call out counts as latency.
+    /// Smoothed latency. What was heard long ago fades toward the average of the zone, so that a node
+    /// in doubt gets a part to show itself with, and a slow zone, or a slow way there, shows at all its
+    /// nodes alike, heard or not. Silence since the oldest call out counts as latency.
     fn latency(&self, node: &Node) -> Tenths {
-        let average = self.average();
+        let average = self.s.zone_mean(node.zone, self.average(), ZONE_FROM);
         let heard = node.latency.map_or(average, |latency| {
             let age = (self.s.now - node.sampled_at).over(SPAN);
             average + (latency - average).times((-age).exp())
@@ -641,8 +636,11 @@
     }
 
     fn average(&self) -> Tenths {
-        let shortest = self.rows.iter().map(|row| row.goal).min().unwrap_or(SPAN);
-        self.s.average.unwrap_or(shortest.times(GUESS)).max(Tenths(1))
+        self.s.average.unwrap_or(self.shortest_goal().times(GUESS)).max(Tenths(1))
+    }
+
+    fn shortest_goal(&self) -> Tenths {
+        self.rows.iter().map(|row| row.goal).min().unwrap_or(SPAN)
     }
 
     fn is_cold(&self, id: NodeId) -> bool {
@@ -653,12 +651,8 @@
     /// Rule 4, kept whatever the other brokers send: a cold node gets no more than this broker's
     /// even share of what it is sure to bear. It is sure to do one part at a time at the average
     /// latency when that was lowest, times the share that it has warmed to at the least.
-    /// Any failing node, cold or not, gets one call at a time until it answers.
     fn has_room(&self, id: &NodeId) -> bool {
         let node = &self.s.nodes[id];
-        if node.failures > 0 && !node.calls.is_empty() {
-            return false;
-        }
         if !self.is_cold(*id) {
             return true;
         }
@@ -676,6 +670,21 @@
 
     // ---- the roll
 
+    /// A new process under an old id: nothing heard of the old one holds.
+    fn read_roll(&mut self, roll: &Roll) {
+        if roll.kind != RollKind::Remembered {
+            (self.s.roll_failures, self.s.roll_silent) = (0, false);
+        }
+        if roll.kind != RollKind::Changes {
+            self.s.unlist(roll);
+        }
+        for entry in roll.entries.iter() {
+            if self.s.enter(entry) {
+                self.s.amend(entry.node, |node| (node.latency, node.failures) = (None, 0));
+            }
+        }
+    }
+
     /// Follows the roll, and comes due again to ask once more where no word has come at all.
     fn follow_roll(&mut self) {
         if self.s.roll_silent {
@@ -689,9 +698,8 @@
     fn roll_failed(&mut self) {
         let within = self.prescription.rules.ask_within.max(SPAN);
         let wait = within.times(ROLL_WAIT * f64::from(1 << self.s.roll_failures.min(4)));
-        self.s.roll_failures += 1;
+        (self.s.roll_failures, self.s.roll_silent) = (self.s.roll_failures + 1, true);
         let at = self.s.now + wait.times(0.5 + self.rng.f64());
-        self.s.roll_silent = true;
         self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
         self.s.agenda.insert((at, Due::FollowRoll));
     }
@@ -707,22 +715,16 @@
     }
 
     fn reaches_least(&self, r: &Retrieval, sum: f64) -> bool {
-        let row = self.row(r);
-        let need = if r.second_step && row.least >= row.whole { 1.0 } else { row.least };
-        sum + ROUNDING >= need
-    }
-
-    /// The share of parts refused as full or timed out. Where little was heard, or long ago, it is
-    /// measured against as many parts as make one of them the starting level. A retrieval within
-    /// its caller's share is not judged by the harm that callers beyond theirs come to: one caller's
-    /// storm would else lift the pressure of all.
-    fn pressure(&self, within_share: bool) -> f64 {
-        let [all, within] = self.s.pressure.each_ref().map(|g| g.share(self.s.now, SPAN, 1.0 / START));
-        if within_share { within } else { within.max(all) }
+        let &CategoryRow { least, whole, .. } = self.row(r);
+        sum + ROUNDING >= if r.second_step && least >= whole { 1.0 } else { least }
     }
 
+    /// Pressure is the share of parts refused as full or timed out; where few were heard of lately, out
+    /// of as many as make one of them the starting level. One caller's storm would lift it for all: a
+    /// retrieval within its caller's share is not judged by the harm that callers beyond theirs come to.
     fn base(&mut self, within_share: bool) -> f64 {
-        let pressure = self.pressure(within_share);
+        let [all, within] = self.s.pressure.each_ref().map(|g| g.share(self.s.now, SPAN, 1.0 / START));
+        let pressure = if within_share { within } else { within.max(all) };
         let cutting = pressure > START;
         if cutting != self.s.cutting {
             self.s.cutting = cutting;
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -5,7 +5,7 @@
 use crate::ids::{
     CallNo, CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
 };
-use crate::inputs::{NewPart, Roll, RollKind, Standing};
+use crate::inputs::{NewPart, Roll, RollEntry, Standing};
 use crate::prescription::EffectKind;
 use crate::time::Tenths;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -30,6 +30,13 @@
     pub withdrawn: bool,
 }
 
+/// The connection that a push after a lull travels on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Line {
+    Kept,
+    Fresh,
+}
+
 /// What a push leaves on the books until its end is heard, also past its retrieval's end.
 #[derive(Clone, Debug)]
 pub struct Ticket {
@@ -42,6 +49,8 @@
     pub out: f64,
     /// They used much of the room that this one had.
     pub crowded: bool,
+    /// It opened a call after a lull: on the connection kept, or on a fresh one.
+    pub lull: Option<Line>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -173,10 +182,7 @@
     pub two_steps: bool,
     pub effect: EffectKind,
     pub repeat_window: Tenths,
-    /// The most pushes for a part, by payoff.
-    pub pushes: usize,
-    /// Payoff as a share of the largest.
-    pub value: f64,
+    pub payoff: f64,
 }
 
 /// What comes due at a time.
@@ -201,7 +207,16 @@
     pub now: Tenths,
     pub effects: Vec<Effect>,
     pub nodes: BTreeMap<NodeId, Node>,
+    /// The ready nodes of each cell.
     pub holders: BTreeMap<CellNo, BTreeSet<NodeId>>,
+    /// Over the ready nodes: how many, how many of them were heard of, the sum of their latencies.
+    pub ready: usize,
+    pub ready_heard: usize,
+    pub latencies: Tenths,
+    /// The same for each zone: how many were heard of, and the sum.
+    pub zones: BTreeMap<ZoneNo, (usize, i64)>,
+    /// Nodes that a call of this turn goes to.
+    pub boarded: Vec<NodeId>,
     pub retrievals: BTreeMap<RetrievalId, Retrieval>,
     pub groups: BTreeMap<GroupNo, RetrievalId>,
     pub parts: BTreeMap<PartId, (RetrievalId, usize)>,
@@ -222,9 +237,13 @@
     /// Over all parts, and over those of callers within their share.
     pub pressure: [Gauge; 2],
     pub cutting: bool,
+    /// Of pushes after a lull, those lost: on kept connections, and on fresh ones.
+    pub lost_lines: [Gauge; 2],
     /// How many parts this broker may have out.
     pub room: f64,
     pub out_at_turn: f64,
+    /// What each category pays for a part, of late: over the least share, and over the whole.
+    pub pays: BTreeMap<CategoryNo, [f64; 2]>,
     pub callers: BTreeMap<CallerNo, Fading>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
@@ -284,6 +303,11 @@
 }
 
 impl Gauge {
+    pub fn count(&mut self, now: Tenths, span: Tenths, harmed: f64, all: f64) {
+        self.harmed.add(now, span, harmed);
+        self.all.add(now, span, all);
+    }
+
     /// The harmed part of all, or of `least` where all is less.
     pub fn share(&self, now: Tenths, span: Tenths, least: f64) -> f64 {
         self.harmed.read(now, span) / self.all.read(now, span).max(least)
@@ -293,9 +317,41 @@
 impl Instance {
     /// The mean of the smoothed latencies of the ready nodes that were heard of.
     pub fn mean_latency(&self) -> Option<Tenths> {
-        let ready = self.nodes.values().filter(|node| node.standing == Standing::Ready);
-        let heard: Vec<i64> = ready.filter_map(|node| node.latency).map(|l| l.0).collect();
-        (!heard.is_empty()).then(|| Tenths(heard.iter().sum::<i64>() / heard.len() as i64))
+        (self.ready_heard > 0).then(|| Tenths(self.latencies.0 / self.ready_heard as i64))
+    }
+
+    /// The mean over a zone's ready nodes, as far as they were heard of, together with `more` at `average`.
+    pub fn zone_mean(&self, zone: ZoneNo, average: Tenths, more: usize) -> Tenths {
+        let (heard, sum) = self.zones.get(&zone).copied().unwrap_or_default();
+        Tenths((sum + more as i64 * average.0) / (heard + more).max(1) as i64)
+    }
+
+    /// Changes a node that is known, and keeps the sums over the ready ones right.
+    pub fn amend(&mut self, id: NodeId, change: impl FnOnce(&mut Node)) {
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let figures = |node: &Node| match (node.standing, node.latency) {
+            (Standing::Ready, Some(latency)) => (1_usize, 1_usize, latency.0),
+            (Standing::Ready, None) => (1, 0, 0),
+            _ => (0, 0, 0),
+        };
+        let (was, was_zone, before) = (node.cell, node.zone, figures(node));
+        change(node);
+        let (cell, zone, after, idle) = (node.cell, node.zone, figures(node), node.calls.is_empty());
+        self.ready = self.ready + after.0 - before.0;
+        self.ready_heard = self.ready_heard + after.1 - before.1;
+        self.latencies = Tenths(self.latencies.0 + after.2 - before.2);
+        let from = self.zones.entry(was_zone).or_default();
+        *from = (from.0 - before.1, from.1 - before.2);
+        let to = self.zones.entry(zone).or_default();
+        *to = (to.0 + after.1, to.1 + after.2);
+        if before.0 == 1 && (after.0 == 0 || was != cell) {
+            self.holders.get_mut(&was).into_iter().for_each(|set| _ = set.remove(&id));
+        }
+        if after.0 == 1 && (before.0 == 0 || was != cell) {
+            self.holders.entry(cell).or_default().insert(id);
+        } else if after.0 == 0 && idle && self.nodes[&id].standing == Standing::Gone {
+            self.nodes.remove(&id);
+        }
     }
 
     pub fn hold(&mut self, r: Retrieval) {
@@ -369,6 +425,7 @@
             }
         };
         node.riding = Some((call, parts));
+        self.boarded.push(id);
         node.calls.entry(call).or_insert(Call { sent: now, parts_out: 0 }).parts_out += 1;
         if cold {
             node.cold_pushes.push_back(now);
@@ -378,36 +435,51 @@
 
     /// The turn's calls leave; what is sent later travels in others.
     pub fn close_calls(&mut self) {
-        self.nodes.values_mut().for_each(|node| node.riding = None);
+        for id in self.boarded.drain(..) {
+            self.nodes.get_mut(&id).into_iter().for_each(|node| node.riding = None);
+        }
     }
 
-    pub fn read_roll(&mut self, roll: &Roll) {
-        if roll.kind != RollKind::Remembered {
-            (self.roll_failures, self.roll_silent) = (0, false);
-        }
-        if roll.kind != RollKind::Changes {
-            self.nodes.values_mut().for_each(|node| node.standing = Standing::Gone);
-        }
-        for entry in roll.entries.iter() {
-            let node = self.nodes.entry(entry.node).or_default();
-            if entry.started > node.started {
-                // A new process under an old id: nothing heard of the old one holds.
-                (node.latency, node.failures, node.started) = (None, 0, entry.started);
-            }
+    /// Enters what the roll says of a node; tells whether its process is newer than the one known.
+    pub fn enter(&mut self, entry: &RollEntry) -> bool {
+        self.nodes.entry(entry.node).or_default();
+        let mut newer = false;
+        self.amend(entry.node, |node| {
+            newer = entry.started > node.started;
+            node.started = node.started.max(entry.started);
             (node.zone, node.cell, node.standing) = (entry.zone, entry.cell, entry.standing);
+        });
+        newer
+    }
+
+    /// What a full roll does not name is gone.
+    pub fn unlist(&mut self, roll: &Roll) {
+        let listed: BTreeSet<NodeId> = roll.entries.iter().map(|entry| entry.node).collect();
+        let gone: Vec<NodeId> = self.nodes.keys().copied().filter(|id| !listed.contains(id)).collect();
+        for id in gone {
+            self.amend(id, |node| node.standing = Standing::Gone);
         }
-        self.nodes.retain(|_, node| node.standing != Standing::Gone || !node.calls.is_empty());
-        self.holders.clear();
-        for (id, node) in self.nodes.iter().filter(|(_, node)| node.standing == Standing::Ready) {
-            self.holders.entry(node.cell).or_default().insert(*id);
-        }
+    }
+
+    /// Keeps what a category pays, the newest counting for this share.
+    pub fn note_pays(&mut self, category: CategoryNo, pays: [f64; 2], newest: f64) {
+        let usual = self.pays.entry(category).or_insert(pays);
+        usual.iter_mut().zip(pays).for_each(|(usual, new)| *usual += (new - *usual) * newest);
     }
 
     /// Adds to both gauges, or to the one over all parts.
     pub fn count_harm(&mut self, span: Tenths, within_share: bool, harmed: f64, all: f64) {
         for gauge in self.pressure.iter_mut().take(1 + usize::from(within_share)) {
-            gauge.harmed.add(self.now, span, harmed);
-            gauge.all.add(self.now, span, all);
+            gauge.count(self.now, span, harmed, all);
+        }
+    }
+
+    /// Calls off all that a retrieval still has out, where that is allowed.
+    pub fn withdraw_all(&mut self, r: &Retrieval, allowed: bool) {
+        for part in r.parts.iter().filter(|part| allowed && !part.flowing) {
+            let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out && !p.withdrawn);
+            let withdraw = |(no, _)| Effect::Withdraw { part: part.id, push: PushNo(no as u16) };
+            self.effects.extend(out.map(withdraw));
         }
     }
 
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -149,8 +149,9 @@
                         Standing::Ready => self.barred.remove(&node),
                         _ => self.barred.insert(node),
                     };
-                    let started = fields.next().map(|ms| Tenths::from_ms(ms.parse().unwrap()));
-                    RollEntry { node, zone: ZoneNo(0), cell, standing, started }
+                    let started = fields.next().and_then(|ms| ms.parse().ok()).map(Tenths::from_ms);
+                    let zone = ZoneNo(fields.next().map_or(0, |zone| zone.parse().unwrap()));
+                    RollEntry { node, zone, cell, standing, started }
                 });
                 Input::Roll(Roll { kind, entries: entries.collect() })
             }
@@ -289,6 +290,7 @@
                 self.wakes.insert(self.now + after);
                 "wake".to_owned()
             }
+            Effect::CloseIdle { node } => format!("close {}", name(node.0)),
             Effect::FollowRoll => "follow".to_owned(),
             Effect::Say(line) => format!("say {line}"),
         });
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -237,8 +237,7 @@
             Effect::Push { part, node, time_out } => {
                 self.record(80, broker);
                 self.records.put_u64_le(part.0);
-                self.records.put_u32_le(node.0 as u32);
-                self.records.put_u16_le((node.0 >> 32) as u16);
+                self.node(node);
                 self.records.put_f64_le(time_out.as_ms());
             }
             Effect::Withdraw { part, push } => {
@@ -260,6 +259,10 @@
                 self.record(82, broker);
                 self.records.put_u64_le(retrieval.0);
             }
+            Effect::CloseIdle { node } => {
+                self.record(86, broker);
+                self.node(node);
+            }
             Effect::Wake { after } => {
                 self.record(84, broker);
                 self.records.put_u64_le(0);
@@ -282,6 +285,11 @@
         self.records.put_u16_le(broker);
     }
 
+    fn node(&mut self, node: &NodeId) {
+        self.records.put_u32_le(node.0 as u32);
+        self.records.put_u16_le((node.0 >> 32) as u16);
+    }
+
     fn text(&mut self, text: &str) {
         let bytes = &text.as_bytes()[..text.len().min(usize::from(u16::MAX))];
         self.records.put_u16_le(bytes.len() as u16);
