Retrievals that nodes fell with are barred, one part goes ahead while nodes fall, room made

What tells a killer from sick nodes: two nodes or more dropped a part of it and none brought one.

Constants folded, reading the roll is bookkeeping now.

Harm: a hall's fall can catch a retrieval before any part of it is in; scouts cost one part's latency while nodes fall for other reasons.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -1,12 +1,11 @@
-//! All decisions of one broker. Make it with `Broker::start`, then give `Broker::turn` what has
-//! been heard and carry out what comes back. What it hears is in `inputs.rs`, what it does in
-//! `effects.rs`, what it is handed at start in `prescription.rs`, what it remembers in `state.rs`;
-//! `docs/design.md` tells why. Read `TABLE` first: it is the life of a retrieval. `ENDS` tells what
-//! each end of a push means. The rest are their guards and acts, and what those ask of the figures.
+//! All decisions of one broker. Make it with `Broker::start`, then give `Broker::turn` what has been heard
+//! and carry out what comes back. What it hears is in `inputs.rs`, what it does in `effects.rs`, what it is
+//! handed at start in `prescription.rs`, what it remembers in `state.rs`; `docs/design.md` tells why. Read
+//! `TABLE` first, the life of a retrieval, then `ENDS`, what each end of a push means. The rest serves them.
 
 use crate::effects::Effect;
 use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
-use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome, Roll, RollKind};
+use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome, Roll};
 use crate::prescription::{EffectKind, FurtherBudget, Prescription};
 use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
 use crate::state::Stage::{self, Answered, Asking, Between, Over, Overdue, Taken};
@@ -21,38 +20,29 @@
 const SPAN: Tenths = Tenths(50_000);
 /// The span over which connections lost after a lull are counted.
 const LONG: Tenths = Tenths(300_000);
-/// Weights are told with this much rounding at the most (half of what an answer may fall short).
+/// Weights are told with this much rounding at the most, half of what an answer may fall short.
 const ROUNDING: f64 = 0.00005;
 /// A new latency counts for this share of a node's smoothed one.
 const NEWEST: f64 = 0.25;
 /// Before anything was heard, a part lasts this share of the shortest goal time.
 const GUESS: f64 = 0.125;
-/// As many nodes of a zone must be heard of before their mean outweighs that of all.
-const ZONE_FROM: usize = 4;
-/// Patience with a push, in average latencies, and its bounds as shares of the goal time.
+/// Patience with a push, in average latencies, and its bounds (the lower for room too) in goal times.
 const PATIENCE: f64 = 3.0;
 const PATIENCE_BOUNDS: (f64, f64) = (0.2, 0.5);
-/// Where the first push must be given up for it, one is made elsewhere only if that looks so much faster.
-const IN_PLACE: f64 = 4.0;
 /// Single parts spread this far about a smoothed latency; past the goal time they are out of reach.
 const SPREAD: f64 = 1.5;
-/// A waiting part tries again after this share of its goal time.
+/// A waiting part tries again after this share of its goal time, the roll after one of its silence.
 const AGAIN: f64 = 0.05;
 /// Where no budget is stated, further pushes stay under this share of what was taken in `SPAN`.
 const OWN_FURTHER: f64 = 0.25;
 /// Room for parts out follows the latency of parts: it aims at this share of the goal time, grows at
-/// most by this factor in the time of one part, and only where it was used to this share. All may use
-/// `ROOM_FOR_ALL` of it, and the rest as far as they pay, measured by what pays best.
+/// most by this factor in the time of one part, and only where this share of it was used. All may use
+/// that share, and the rest as far as they pay a part, measured by what pays best.
 const ROOM_TARGET: f64 = 0.25;
 const ROOM_GROW: f64 = 1.5;
 const CROWDED: f64 = 0.5;
-const ROOM_FOR_ALL: f64 = 0.5;
-/// A retrieval waits for room for this share of its goal time at the most.
-const WAIT: f64 = 0.2;
 /// Answers leave before the goal time by two turns and this share of it.
 const GOAL_MARGIN: f64 = 0.02;
-/// The first wait before the roll is asked for again, as a share of the time it may be silent.
-const ROLL_WAIT: f64 = 0.025;
 
 type Guard = fn(&mut Broker, &Retrieval) -> bool;
 type Act = fn(&mut Broker, &mut Retrieval);
@@ -65,18 +55,21 @@
 /// act. The first row that fits is taken; where none fits, nothing happens.
 #[rustfmt::skip]
 const TABLE: &[Row] = &[
+    Row(&[Taken],    Ready,      |b, r| b.s.is_barred(r),   Over, Broker::give_up),
     Row(&[Taken],    Ready,      Broker::may_wait,      Taken,    Broker::wait),
     Row(&[Taken],    Ready,      Broker::no_room,       Over,     Broker::turn_away),
     Row(&[Taken],    Ready,      |_, _| true,           Asking,   Broker::ask),
     Row(&[Between],  Ready,      |_, _| true,           Asking,   Broker::ask),
+    Row(&[Asking],   PartIn,     |_, r| r.scouting,     Asking,   Broker::ask),
     Row(&[Asking],   PartIn,     Broker::complete,      Answered, Broker::answer),
     Row(&[Asking],   PartLost,   Broker::complete,      Answered, Broker::answer),
+    Row(&[Asking],   PartLost,   Broker::can_mend,      Asking,   Broker::ask),
     Row(&[Asking],   PartLost,   Broker::beyond_hope,   Over,     Broker::give_up),
     Row(&[Asking],   GoalNear,   Broker::has_least,     Answered, Broker::answer),
-    Row(&[Asking],   GoalNear,   Broker::late_is_worth, Overdue,  Broker::stop_asking),
+    Row(&[Asking],   GoalNear,   Broker::late_is_worth, Overdue,  |_, _| ()),
     Row(&[Asking],   GoalNear,   |_, _| true,           Over,     Broker::give_up),
     Row(&[Overdue],  PartIn,     Broker::has_least,     Answered, Broker::answer),
-    Row(&[Overdue],  PartLost,   Broker::beyond_hope,   Over,     Broker::give_up),
+    Row(&[Overdue],  PartLost,   |b, r| !b.late_is_worth(r), Over, Broker::give_up),
     Row(&[Answered], Said,       Broker::leads_on,      Between,  Broker::clear_parts),
     Row(&[Answered], Said,       |_, _| true,           Over,     |_, _| ()),
     Row(ANY,         CutOffNear, Broker::has_least,     Answered, Broker::answer),
@@ -145,8 +138,7 @@
         }
         // Rule 6 in any window: taken is counted over one shorter by two turns, further over a longer.
         let (since, slack) = (now - self.further.window, self.prescription.period.times(2.0));
-        while self.s.taken.pop_front_if(|at| *at < since + slack).is_some() {}
-        while self.s.further.pop_front_if(|push| push.0 < since - slack).is_some() {}
+        self.s.forget(since + slack, since - slack);
         for input in inputs {
             self.hear(input);
         }
@@ -211,8 +203,7 @@
 
     // ---- guards
 
-    /// All that was sent has come to its end, or enough is in for the whole, or for a first step that
-    /// has had half of the goal time.
+    /// All that was sent has ended, enough is in for the whole, or a first step has had half of its time.
     fn complete(&mut self, r: &Retrieval) -> bool {
         let halfway = self.leads_on(r) && self.s.now + self.row(r).goal.times(0.5) >= r.goal_at;
         let settled = r.weight(&[PartStage::Wanted, PartStage::Out]) == 0.0;
@@ -223,6 +214,12 @@
         self.reaches_least(r, r.weight(&[PartStage::In]))
     }
 
+    /// Unsent light parts can stand in for lost ones.
+    fn can_mend(&mut self, r: &Retrieval) -> bool {
+        let all = r.weight(&[PartStage::Unsent, PartStage::Wanted, PartStage::Out, PartStage::In]);
+        self.beyond_hope(r) && self.reaches_least(r, all)
+    }
+
     /// Even if all that is out comes in, it is less than the least share.
     fn beyond_hope(&mut self, r: &Retrieval) -> bool {
         !self.reaches_least(r, r.weight(&[PartStage::Wanted, PartStage::Out, PartStage::In]))
@@ -232,14 +229,21 @@
         self.row(r).late_pays && self.reaches_least(r, r.weight(&[PartStage::Out, PartStage::In]))
     }
 
+    /// Guards against retrievals that bring down every node that begins a part of them, which looks like
+    /// many sick nodes; told apart by two nodes or more that fell with a part, and none that brought one.
+    /// Dropped parts wait for a first one as proof; once given up it is barred while its caller may
+    /// repeat it. Harm: one caught in a hall's fall before any part is in.
+    fn kills(&self, r: &Retrieval) -> bool {
+        r.fallen.len() > 1 && r.weight(&[PartStage::In]) == 0.0
+    }
+
     fn leads_on(&mut self, r: &Retrieval) -> bool {
         self.row(r).two_steps && !r.second_step
     }
 
-    /// Guards against queues that outgrow the goal time, whatever fills them: a retrieval waits, and
-    /// is then turned away, while even its least share would pass the room, or is out of reach. With
-    /// nothing out, one is always taken, however wide, so that the room can grow again.
-    /// Harm: one that a lucky replica would have answered in time is turned away.
+    /// Guards against queues that outgrow the goal time: a retrieval waits, and is then turned away, while
+    /// even its least share passes the room, or is out of reach. With nothing out, one is always taken,
+    /// however wide, so that room can grow again. Harm: what a lucky replica would have served is not.
     fn no_room(&mut self, r: &Retrieval) -> bool {
         let lost: f64 = r.parts.iter().filter(|p| self.hopeless(r, p)).map(|p| p.weight).sum();
         let (out, need) = (self.s.tickets.len(), self.plan(r, true).len());
@@ -254,14 +258,14 @@
     fn may_wait(&mut self, r: &Retrieval) -> bool {
         let line = ((self.s.waiting.len() + 1) * r.parts.len()) as f64;
         let short = self.s.waiting.contains(&r.id) || line <= self.s.room;
-        short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - WAIT) && self.no_room(r)
+        short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - PATIENCE_BOUNDS.0) && self.no_room(r)
     }
 
     /// The room for what pays so much for each part that it sends.
     fn room_for(&self, r: &Retrieval, pays: f64) -> f64 {
         let earns = if r.within_share { 1.0 } else { self.prescription.over_share_payoff };
         let best = self.s.pays.values().map(|p| p[0]).fold(pays, f64::max).max(f64::MIN_POSITIVE);
-        self.s.room * (ROOM_FOR_ALL + (1.0 - ROOM_FOR_ALL) * earns * pays / best)
+        self.s.room * (CROWDED + (1.0 - CROWDED) * earns * pays / best)
     }
 
     // ---- acts
@@ -282,26 +286,30 @@
     fn ask(&mut self, r: &mut Retrieval) {
         let (least, partial) = (self.row(r).least, self.row(r).least < self.row(r).whole);
         let (mut sent, out) = (0.0, self.s.tickets.len());
+        let first = r.parts.iter().all(|part| part.pushes.is_empty());
+        r.scouting = first && self.s.falls.share(self.s.now, SPAN, 1.0 / START) > START;
         for (count, at) in self.plan(r, false).into_iter().enumerate() {
             if !partial || out + count < self.s.room as usize || sent + ROUNDING < least {
-                sent += r.parts[at].weight;
-                r.parts[at].stage = PartStage::Wanted;
-                self.s.wanted.push(r.parts[at].id);
+                let part = &mut r.parts[at];
+                sent += part.weight;
+                if part.stage == PartStage::Unsent && (count == 0 || !r.scouting) {
+                    part.stage = PartStage::Wanted;
+                    self.s.wanted.push(part.id);
+                }
             }
         }
     }
 
-    /// The design's ordinary path: parts by told weight, score = weight x B^-rank, none sent that
-    /// scores under `CUT`, and never less than the least share; with `least_only`, no more than that.
-    /// Parts of even weight share a rank, else many of them would collapse to a few as B passes 1.
-    /// A part that no holder can bring in goal time counts as cut: else a hot or dead shard's heavy
-    /// part keeps its rank and is sent for nothing while light ones are trimmed.
+    /// The design's ordinary path: parts by told weight, score = weight x B^-rank, none sent that scores
+    /// under `CUT`, and never less than the least share; with `least_only`, no more than that. Parts of even
+    /// weight share a rank, else many would collapse to a few as B passes 1. A part out of reach counts as
+    /// cut: else a hot or dead shard's heavy part is sent for nothing while light ones are trimmed.
     fn plan(&mut self, r: &Retrieval, least_only: bool) -> Vec<usize> {
         let base = self.base(r.within_share);
         let row = self.row(r);
         let (mut rank, mut level) = (0, f64::INFINITY);
         let mut order: Vec<(bool, usize)> = Vec::new();
-        for (at, part) in r.parts.iter().enumerate() {
+        for (at, part) in r.parts.iter().enumerate().filter(|(_, part)| part.stage != PartStage::Lost) {
             if part.weight + ROUNDING < level {
                 (rank, level) = (at, part.weight);
             }
@@ -320,8 +328,13 @@
         order.into_iter().map(|(_, at)| at).collect()
     }
 
+    /// Whether no holder may have a part now, or the best can't bring it in time. A sound idle one can: a
+    /// slow pair of holders is used for what it can do, rather than all that touches it turned away.
     fn hopeless(&self, r: &Retrieval, part: &Part) -> bool {
-        self.wait_for(part).is_some_and(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
+        let idle = |n: &Node| n.calls.is_empty() && n.failures == 0;
+        let nodes = self.holders(part).filter(|id| self.has_room(id)).map(|id| &self.s.nodes[&id]);
+        let wait = nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) }).min();
+        wait.is_none_or(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
     }
 
     fn answer(&mut self, r: &mut Retrieval) {
@@ -336,14 +349,14 @@
         r.second_step = true;
     }
 
-    fn stop_asking(&mut self, r: &mut Retrieval) {
-        for part in r.parts.iter_mut().filter(|p| p.stage == PartStage::Wanted) {
-            part.stage = PartStage::Lost;
-        }
-    }
-
     /// A decline where asking again is harmless, else a scrapping.
     fn give_up(&mut self, r: &mut Retrieval) {
+        if self.kills(r) {
+            self.s.barred.insert(r.question(), self.s.now + self.row(r).cut_off);
+            self.s
+                .effects
+                .push(Effect::Say(format!("barred: {} nodes fell with a retrieval", r.fallen.len())));
+        }
         let (limits, goal) = (&self.prescription.limits, self.row(r).goal);
         let mut fates = r.parts.iter().flat_map(|p| &p.pushes).map(|push| push.fate);
         let never_ran = fates.all(|fate| matches!(fate, Fate::NeverRan | Fate::Void));
@@ -397,14 +410,15 @@
         let now = self.s.now;
         let (goal, late_life) = (self.row(r).goal, self.row(r).late_life);
         let further = !r.parts[at].pushes.is_empty();
-        if further && !self.may_push_again(r, at, true) {
-            // It waited so long that another push is no longer harmless.
+        let held = further && self.kills(r);
+        if held && r.weight(&[PartStage::Out]) == 0.0 || further && !self.may_push_again(r, at, true) {
+            // It brings nodes down, or waited so long that another push is no longer harmless.
             r.parts[at].stage = if r.parts[at].out() > 0 { PartStage::Out } else { PartStage::Lost };
             return;
         }
         let part = &mut r.parts[at];
-        let node = self.choose(part).filter(|_| !further || self.further_left());
-        let Some(node) = node else {
+        let may = !held && (!further || self.further_left());
+        let Some(node) = self.choose(part).filter(|_| may) else {
             // No holder may have it now, or the budget is spent: it waits while that can help.
             part.stage = if part.out() > 0 { PartStage::Out } else { PartStage::Wanted };
             return self.later(goal, Due::Again(part.id));
@@ -435,7 +449,11 @@
         let usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
         let all_tried = usable.iter().all(tried);
         let worth = usable.iter().filter(|id| all_tried || !tried(id));
-        let scored: Vec<(f64, NodeId)> = worth.map(|id| (self.score(id), *id)).collect();
+        let score = |node: &Node| {
+            let joins = node.riding.is_some_and(|(_, parts)| parts < self.prescription.layout.per_call);
+            self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
+        };
+        let scored: Vec<(f64, NodeId)> = worth.map(|id| (score(&self.s.nodes[id]), *id)).collect();
         let best = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
         let close = scored.iter().filter(|s| s.0 <= best * (1.0 + START)).map(|s| s.1);
         let zone = self.prescription.zone;
@@ -463,20 +481,14 @@
         Some(Line::Fresh)
     }
 
-    fn score(&self, id: &NodeId) -> f64 {
-        let node = &self.s.nodes[id];
-        let joins = node.riding.is_some_and(|(_, parts)| parts < self.prescription.layout.per_call);
-        self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
-    }
-
     fn later(&mut self, goal: Tenths, due: Due) {
         self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
     }
 
     /// Guards against nodes that take parts and do not answer, whatever the reason (hung, silent,
     /// standing still, cut off): once patience is up, the node has answered nothing since, and another
-    /// holder looks faster than its silence, the part is pushed there too, or in place of the first
-    /// push where copies are not allowed; that loses the first answer. Harm: work done twice.
+    /// holder looks faster than its silence, the part is pushed there too; or in place of the first where
+    /// copies are not allowed and that looks far faster, for it loses an answer. Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
         let push = &r.parts[at].pushes[no.0 as usize];
@@ -487,7 +499,7 @@
             let here = node.map_or(self.average(), |n| self.latency(n));
             let (copies, withdraw) = (self.prescription.limits.copies, self.prescription.limits.may_withdraw);
             let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
-            let times = if copies { 1.0 } else { IN_PLACE };
+            let times = if copies { 1.0 } else { PATIENCE };
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
             let faster =
                 elsewhere.is_some_and(|there| there.times(times) < here && self.s.now + there < r.goal_at);
@@ -500,6 +512,9 @@
                 self.s.effects.push(Effect::Withdraw { part: id, push: no });
             } else {
                 self.later(self.row(&r).goal, Due::Look(id, no));
+                if r.scouting {
+                    self.ask(&mut r);
+                }
             }
         }
         self.s.put(r);
@@ -533,6 +548,9 @@
         }
         let Some((mut r, at)) = self.s.lift(outcome.part) else { return };
         let (rid, was) = (r.id, r.parts[at].stage);
+        if outcome.end == PushEnd::Dropped {
+            r.fallen.insert(outcome.node);
+        }
         if let Some(push) = r.parts[at].pushes.get_mut(outcome.push.0 as usize) {
             push.fate = end.1;
         }
@@ -555,9 +573,8 @@
         }
     }
 
-    /// Keeps the node's latency and the pressure.
-    /// Guards against quick errors that would make a dead node look fast: a failure counts as the
-    /// average latency at least, doubled for each failure in a row.
+    /// Keeps latencies and pressure. Guards against quick errors that would make a dead node look fast: a
+    /// failure counts as the average latency at least, doubled for each failure in a row.
     fn learn(&mut self, ticket: &Ticket, outcome: &PushOutcome, end: &End) {
         let (now, average) = (self.s.now, self.average());
         let &End(_, fate, harm, blame, down) = end;
@@ -567,6 +584,7 @@
             self.s.lost_lines[line as usize].count(now, LONG, f64::from(u8::from(lost)), 1.0);
         }
         if fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
+            self.s.falls.count(now, SPAN, f64::from(u8::from(down)), 1.0);
             self.s.count_harm(SPAN, ticket.within_share, f64::from(u8::from(harm)), 1.0);
             self.fit_room(ticket, outcome.took);
         }
@@ -587,7 +605,7 @@
             if outcome.end == PushEnd::Finished {
                 (node.failures, node.heard_at) = (0, now);
             }
-            if down {
+            if down && ticket.lull != Some(Line::Kept) {
                 // It may come back cold before the roll says so: taken to start when last seen down.
                 node.started = node.started.max(Some(now));
             }
@@ -613,20 +631,11 @@
         ids.flatten().copied()
     }
 
-    /// The latency that a part must expect at its best holder; none where no node holds it now. A
-    /// sound holder with nothing of this broker's out counts as at once: a slow pair of holders is
-    /// used for what it can do, rather than all that touches it turned away.
-    fn wait_for(&self, part: &Part) -> Option<Tenths> {
-        let idle = |n: &Node| n.calls.is_empty() && n.failures == 0;
-        let nodes = self.holders(part).map(|id| &self.s.nodes[&id]);
-        nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) }).min()
-    }
-
-    /// Smoothed latency. What was heard long ago fades toward the average of the zone, so that a node
-    /// in doubt gets a part to show itself with, and a slow zone, or a slow way there, shows at all its
-    /// nodes alike, heard or not. Silence since the oldest call out counts as latency.
+    /// Smoothed latency. What was heard long ago fades toward the average, or that of a zone slower by half:
+    /// a slow zone, or way there, shows at all its nodes. Silence since the oldest call out counts too.
     fn latency(&self, node: &Node) -> Tenths {
-        let average = self.s.zone_mean(node.zone, self.average(), ZONE_FROM);
+        let (all, zone) = (self.average(), self.s.zone_mean(node.zone, self.average(), 1.0 / NEWEST));
+        let average = if zone > all.times(SPREAD) { zone } else { all };
         let heard = node.latency.map_or(average, |latency| {
             let age = (self.s.now - node.sampled_at).over(SPAN);
             average + (latency - average).times((-age).exp())
@@ -648,9 +657,8 @@
         self.s.nodes[&id].started.is_some_and(|at| self.s.now - at < warm_after)
     }
 
-    /// Rule 4, kept whatever the other brokers send: a cold node gets no more than this broker's
-    /// even share of what it is sure to bear. It is sure to do one part at a time at the average
-    /// latency when that was lowest, times the share that it has warmed to at the least.
+    /// Rule 4, whatever the other brokers send: a cold node gets this broker's even share of what it bears:
+    /// one part at a time at the lowest average latency, times the share it has warmed to at the least.
     fn has_room(&self, id: &NodeId) -> bool {
         let node = &self.s.nodes[id];
         if !self.is_cold(*id) {
@@ -672,16 +680,8 @@
 
     /// A new process under an old id: nothing heard of the old one holds.
     fn read_roll(&mut self, roll: &Roll) {
-        if roll.kind != RollKind::Remembered {
-            (self.s.roll_failures, self.s.roll_silent) = (0, false);
-        }
-        if roll.kind != RollKind::Changes {
-            self.s.unlist(roll);
-        }
-        for entry in roll.entries.iter() {
-            if self.s.enter(entry) {
-                self.s.amend(entry.node, |node| (node.latency, node.failures) = (None, 0));
-            }
+        for id in self.s.read_roll(roll) {
+            self.s.amend(id, |node| (node.latency, node.failures) = (None, 0));
         }
     }
 
@@ -696,12 +696,11 @@
 
     /// The roll's service is shared and finite: each failure doubles the wait, and lots are drawn.
     fn roll_failed(&mut self) {
-        let within = self.prescription.rules.ask_within.max(SPAN);
-        let wait = within.times(ROLL_WAIT * f64::from(1 << self.s.roll_failures.min(4)));
+        let wait = self.prescription.rules.ask_within.max(SPAN).times(AGAIN);
+        let doubled = wait.times(f64::from(1 << self.s.roll_failures.min(4)) * (0.5 + self.rng.f64()));
         (self.s.roll_failures, self.s.roll_silent) = (self.s.roll_failures + 1, true);
-        let at = self.s.now + wait.times(0.5 + self.rng.f64());
         self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
-        self.s.agenda.insert((at, Due::FollowRoll));
+        self.s.agenda.insert((self.s.now + doubled, Due::FollowRoll));
     }
 
     fn row(&self, r: &Retrieval) -> &CategoryRow {
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -5,7 +5,7 @@
 use crate::ids::{
     CallNo, CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
 };
-use crate::inputs::{NewPart, Roll, RollEntry, Standing};
+use crate::inputs::{NewPart, Roll, RollEntry, RollKind, Standing};
 use crate::prescription::EffectKind;
 use crate::time::Tenths;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -114,6 +114,10 @@
     pub second_step: bool,
     /// The first step's answer was whole.
     pub first_whole: bool,
+    /// Nodes that dropped a push of it.
+    pub fallen: BTreeSet<NodeId>,
+    /// Only its first part is out, the others wait for that.
+    pub scouting: bool,
     pub parts: Vec<Part>,
 }
 
@@ -237,6 +241,8 @@
     /// Over all parts, and over those of callers within their share.
     pub pressure: [Gauge; 2],
     pub cutting: bool,
+    /// Of all pushes, those that found their node down or saw it fall.
+    pub falls: Gauge,
     /// Of pushes after a lull, those lost: on kept connections, and on fresh ones.
     pub lost_lines: [Gauge; 2],
     /// How many parts this broker may have out.
@@ -245,6 +251,8 @@
     /// What each category pays for a part, of late: over the least share, and over the whole.
     pub pays: BTreeMap<CategoryNo, [f64; 2]>,
     pub callers: BTreeMap<CallerNo, Fading>,
+    /// Questions not asked again until then.
+    pub barred: BTreeMap<(CategoryNo, BTreeSet<ShardNo>), Tenths>,
     pub taken: VecDeque<Tenths>,
     pub further: VecDeque<(Tenths, PartId, PushNo)>,
     /// No word of the roll has come since it was last asked for.
@@ -264,7 +272,8 @@
         goal_at: Tenths,
         cut_off_at: Tenths,
     ) -> Retrieval {
-        let (stage, second_step, first_whole, parts) = (Stage::Taken, false, false, Vec::new());
+        let (stage, second_step, first_whole) = (Stage::Taken, false, false);
+        let (fallen, scouting, parts) = (BTreeSet::new(), false, Vec::new());
         Retrieval {
             id,
             group,
@@ -275,10 +284,17 @@
             cut_off_at,
             second_step,
             first_whole,
+            fallen,
+            scouting,
             parts,
         }
     }
 
+    /// What it asks for; one that comes again asks for the same.
+    pub fn question(&self) -> (CategoryNo, BTreeSet<ShardNo>) {
+        (self.category, self.parts.iter().map(|part| part.shard).collect())
+    }
+
     /// The weight of the parts at these stages.
     pub fn weight(&self, stages: &[PartStage]) -> f64 {
         self.parts.iter().filter(|p| stages.contains(&p.stage)).map(|p| p.weight).sum()
@@ -321,9 +337,9 @@
     }
 
     /// The mean over a zone's ready nodes, as far as they were heard of, together with `more` at `average`.
-    pub fn zone_mean(&self, zone: ZoneNo, average: Tenths, more: usize) -> Tenths {
+    pub fn zone_mean(&self, zone: ZoneNo, average: Tenths, more: f64) -> Tenths {
         let (heard, sum) = self.zones.get(&zone).copied().unwrap_or_default();
-        Tenths((sum + more as i64 * average.0) / (heard + more).max(1) as i64)
+        Tenths(((sum as f64 + more * average.0 as f64) / (heard as f64 + more)) as i64)
     }
 
     /// Changes a node that is known, and keeps the sums over the ready ones right.
@@ -452,6 +468,17 @@
         newer
     }
 
+    /// Takes a roll in, and tells which nodes run a newer process than the one known.
+    pub fn read_roll(&mut self, roll: &Roll) -> Vec<NodeId> {
+        if roll.kind != RollKind::Remembered {
+            (self.roll_failures, self.roll_silent) = (0, false);
+        }
+        if roll.kind != RollKind::Changes {
+            self.unlist(roll);
+        }
+        roll.entries.iter().filter(|entry| self.enter(entry)).map(|entry| entry.node).collect()
+    }
+
     /// What a full roll does not name is gone.
     pub fn unlist(&mut self, roll: &Roll) {
         let listed: BTreeSet<NodeId> = roll.entries.iter().map(|entry| entry.node).collect();
@@ -461,6 +488,12 @@
         }
     }
 
+    /// Drops what was taken, and what was pushed further, before these moments.
+    pub fn forget(&mut self, taken: Tenths, further: Tenths) {
+        while self.taken.pop_front_if(|at| *at < taken).is_some() {}
+        while self.further.pop_front_if(|push| push.0 < further).is_some() {}
+    }
+
     /// Keeps what a category pays, the newest counting for this share.
     pub fn note_pays(&mut self, category: CategoryNo, pays: [f64; 2], newest: f64) {
         let usual = self.pays.entry(category).or_insert(pays);
@@ -474,6 +507,13 @@
         }
     }
 
+    /// Whether its question is one not to be asked; forgets those that were, long enough ago.
+    pub fn is_barred(&mut self, r: &Retrieval) -> bool {
+        let now = self.now;
+        self.barred.retain(|_, until| *until > now);
+        self.barred.contains_key(&r.question())
+    }
+
     /// Calls off all that a retrieval still has out, where that is allowed.
     pub fn withdraw_all(&mut self, r: &Retrieval, allowed: bool) {
         for part in r.parts.iter().filter(|part| allowed && !part.flowing) {
