A push dropped at once after a lull tells of a lost connection, not of its node

Brokers took the nodes for dead (latency, cold budget), and took 53 retrievals for killers of nodes, which was not so; the budget of further pushes went on them. Told apart from a dead node, which refuses the connection; from a killer, which drops after it has begun.

Change: such an end leaves node and retrieval alone, and from that lull on idle connections are closed before a push, for half a minute since it was last seen. What rides in a call shares its doubt. Time-outs without copies or withdrawals no longer cut short (one line).

Harm: handshakes for half a minute where a node fell within two turns of a push.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -428,14 +428,12 @@
         let crowded = out >= self.s.room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
         let (lull, cold) = (self.line_after_lull(node), self.is_cold(node));
-        let call = self.s.board(node, self.prescription.layout.per_call, cold);
+        let call = self.s.board(node, self.prescription.layout.per_call, cold, lull);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
         let (low, high) = (goal.times(PATIENCE_BOUNDS.0), goal.times(PATIENCE_BOUNDS.1));
-        // Without copies or withdrawals nothing but a time-out can end it in time for another.
-        let movable = self.prescription.limits.copies || self.prescription.limits.may_withdraw;
-        let life = (r.goal_at + late_life).min(if movable { r.cut_off_at } else { now + high }) - now;
+        let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         let patience = self.average().times(PATIENCE).max(low).min(high);
         self.s.agenda.insert((now + patience, Due::Look(id, no)));
@@ -463,22 +461,24 @@
         Some(tied[self.rng.usize(..tied.len())])
     }
 
-    /// Guards against connections dropped unseen while idle. They look like many sick nodes; what tells
-    /// them apart: pushes after a lull fail on kept connections and not on fresh ones. While a fifth of
-    /// the first do, and the others half as often at the most, idle connections are closed before a push.
-    /// Harm: a handshake each, in time-outs with another cause, until fresh ones are seen to fail as well.
-    fn line_after_lull(&mut self, id: NodeId) -> Option<Line> {
-        let node = &self.s.nodes[&id];
-        let lull = self.s.now - node.heard_at > self.shortest_goal().times(0.5);
-        if !lull || node.heard_at == Tenths::ZERO || !node.calls.is_empty() {
-            return None;
+    /// Guards against connections dropped unseen while idle, which looks like many sick nodes. Told apart:
+    /// pushes after a lull are dropped at once, where a dead node would refuse the connection; or a fifth of
+    /// them come to nothing on kept connections, and half as many at the most on fresh ones. Then idle
+    /// connections are closed before a push. Harm: a handshake each, while other causes look like these.
+    fn line_after_lull(&mut self, id: NodeId) -> Option<(Line, Tenths)> {
+        let (now, node) = (self.s.now, &self.s.nodes[&id]);
+        let lull = now - node.heard_at;
+        let idle = node.calls.is_empty() && node.heard_at > Tenths::ZERO;
+        if !idle || lull < self.shortest_goal().times(PATIENCE_BOUNDS.0) {
+            return node.riding.and(node.line);
         }
-        let [kept, fresh] = self.s.lost_lines.each_ref().map(|g| g.share(self.s.now, LONG, 1.0 / START));
-        if kept < 2.0 * START || fresh > kept / 2.0 {
-            return Some(Line::Kept);
+        let [kept, fresh] = self.s.lost_lines.each_ref().map(|g| g.share(now, LONG, 1.0 / START));
+        let dropped = self.s.dropped.is_some_and(|(after, at)| lull >= after && now - at < LONG);
+        if !dropped && (kept < 2.0 * START || fresh > kept / 2.0) {
+            return Some((Line::Kept, lull));
         }
         self.s.effects.push(Effect::CloseIdle { node: id });
-        Some(Line::Fresh)
+        Some((Line::Fresh, lull))
     }
 
     fn later(&mut self, goal: Tenths, due: Due) {
@@ -540,15 +540,14 @@
 
     fn push_ended(&mut self, outcome: &PushOutcome) {
         let Some(end) = ENDS.iter().find(|end| end.0 == outcome.end) else { return };
-        if let Some(ticket) = self.s.tickets.remove(&(outcome.part, outcome.push)) {
-            self.learn(&ticket, outcome, end);
-        }
+        let ticket = self.s.tickets.remove(&(outcome.part, outcome.push));
+        ticket.iter().for_each(|ticket| self.learn(ticket, outcome, end));
         if end.1 == Fate::Void {
             self.s.further.retain(|f| (f.1, f.2) != (outcome.part, outcome.push));
         }
         let Some((mut r, at)) = self.s.lift(outcome.part) else { return };
         let (rid, was) = (r.id, r.parts[at].stage);
-        if outcome.end == PushEnd::Dropped {
+        if outcome.end == PushEnd::Dropped && ticket.is_some_and(|t| !t.on_kept_line()) {
             r.fallen.insert(outcome.node);
         }
         if let Some(push) = r.parts[at].pushes.get_mut(outcome.push.0 as usize) {
@@ -556,8 +555,7 @@
         }
         let again = r.stage == Asking && self.may_push_again(&r, at, false);
         let stage = match outcome.end {
-            _ if was == PartStage::In => PartStage::In,
-            PushEnd::Finished => PartStage::In,
+            end if was == PartStage::In || end == PushEnd::Finished => PartStage::In,
             _ if r.parts[at].out() > 0 => PartStage::Out,
             PushEnd::NotSent => PartStage::Lost,
             _ if again => PartStage::Wanted,
@@ -578,10 +576,14 @@
     fn learn(&mut self, ticket: &Ticket, outcome: &PushOutcome, end: &End) {
         let (now, average) = (self.s.now, self.average());
         let &End(_, fate, harm, blame, down) = end;
-        if let Some(line) = ticket.lull.filter(|_| fate != Fate::Void) {
+        let cut_line = outcome.end == PushEnd::Dropped && ticket.on_kept_line();
+        if let Some((line, lull)) = ticket.lull.filter(|_| fate != Fate::Void) {
             let silent = self.s.nodes.get(&ticket.node).is_none_or(|n| now - outcome.took >= n.heard_at);
             let lost = blame || outcome.end == PushEnd::Withdrawn && silent && outcome.took > average;
             self.s.lost_lines[line as usize].count(now, LONG, f64::from(u8::from(lost)), 1.0);
+            if cut_line && outcome.took <= self.prescription.period.times(2.0) {
+                self.s.note_dropped(lull, LONG);
+            }
         }
         if fate != Fate::Void && outcome.end != PushEnd::Withdrawn {
             self.s.falls.count(now, SPAN, f64::from(u8::from(down)), 1.0);
@@ -591,7 +593,7 @@
         self.s.amend(ticket.node, |node| {
             node.leave(ticket.call);
             let early = node.latency.is_some_and(|l| outcome.took < l);
-            if fate == Fate::Void || outcome.end == PushEnd::Withdrawn && early {
+            if fate == Fate::Void || cut_line || outcome.end == PushEnd::Withdrawn && early {
                 return;
             }
             // Those out together fail together: one failure in a row, not many.
@@ -605,7 +607,7 @@
             if outcome.end == PushEnd::Finished {
                 (node.failures, node.heard_at) = (0, now);
             }
-            if down && ticket.lull != Some(Line::Kept) {
+            if down {
                 // It may come back cold before the roll says so: taken to start when last seen down.
                 node.started = node.started.max(Some(now));
             }
@@ -615,8 +617,7 @@
     /// Little's law: with so many parts out this one took so long, so at the target latency there is
     /// room for fewer, or for more. It grows only where it is used.
     fn fit_room(&mut self, ticket: &Ticket, took: Tenths) {
-        let most = f64::from(self.prescription.limits.most_open.max(1));
-        let room = self.s.room;
+        let (room, most) = (self.s.room, f64::from(self.prescription.limits.most_open.max(1)));
         let ratio = ticket.goal.times(ROOM_TARGET).over(took).min(ROOM_GROW);
         let fits = if ratio < 1.0 { ticket.out.min(room) * ratio } else { room * ratio };
         if ratio < 1.0 || ticket.crowded {
@@ -733,10 +734,9 @@
         1.0 + (FULL_BASE - 1.0) * ((pressure - START) / (1.0 - START)).max(0.0)
     }
 
-    /// Rule 6, and the broker's own restraint: in any window, further pushes stay under a few plus a
-    /// share of what was taken.
+    /// Rule 6, and the broker's own restraint: in any window a few, plus a share of what was taken.
     fn further_left(&self) -> bool {
-        let most = self.further.floor + self.further.share * self.s.taken.len() as f64;
-        (self.s.further.len() + 1) as f64 <= most
+        (self.s.further.len() + 1) as f64
+            <= self.further.floor + self.further.share * self.s.taken.len() as f64
     }
 }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -50,7 +50,13 @@
     /// They used much of the room that this one had.
     pub crowded: bool,
     /// It opened a call after a lull: on the connection kept, or on a fresh one.
-    pub lull: Option<Line>,
+    pub lull: Option<(Line, Tenths)>,
+}
+
+impl Ticket {
+    pub fn on_kept_line(&self) -> bool {
+        self.lull.is_some_and(|(line, _)| line == Line::Kept)
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -143,6 +149,7 @@
     pub calls: BTreeMap<CallNo, Call>,
     /// The call of this turn, and how many parts it carries.
     pub riding: Option<(CallNo, u32)>,
+    pub line: Option<(Line, Tenths)>,
     /// When pushes went to it while it was cold.
     pub cold_pushes: VecDeque<Tenths>,
 }
@@ -245,6 +252,8 @@
     pub falls: Gauge,
     /// Of pushes after a lull, those lost: on kept connections, and on fresh ones.
     pub lost_lines: [Gauge; 2],
+    /// The shortest lull after which a push was dropped at once, and when that was last seen.
+    pub dropped: Option<(Tenths, Tenths)>,
     /// How many parts this broker may have out.
     pub room: f64,
     pub out_at_turn: f64,
@@ -430,7 +439,7 @@
     }
 
     /// The call that a push of this turn to this node travels in.
-    pub fn board(&mut self, id: NodeId, per_call: u32, cold: bool) -> CallNo {
+    pub fn board(&mut self, id: NodeId, per_call: u32, cold: bool, line: Option<(Line, Tenths)>) -> CallNo {
         let now = self.now;
         let node = self.nodes.entry(id).or_default();
         let (call, parts) = match node.riding {
@@ -440,7 +449,7 @@
                 (self.next_call, 1)
             }
         };
-        node.riding = Some((call, parts));
+        (node.riding, node.line) = (Some((call, parts)), line);
         self.boarded.push(id);
         node.calls.entry(call).or_insert(Call { sent: now, parts_out: 0 }).parts_out += 1;
         if cold {
@@ -494,6 +503,12 @@
         while self.further.pop_front_if(|push| push.0 < further).is_some() {}
     }
 
+    /// A push was dropped at once after such a lull; the shortest known counts, if it was seen in the span.
+    pub fn note_dropped(&mut self, lull: Tenths, span: Tenths) {
+        let known = self.dropped.filter(|(_, at)| self.now - *at < span);
+        self.dropped = Some((known.map_or(lull, |(after, _)| after.min(lull)), self.now));
+    }
+
     /// Keeps what a category pays, the newest counting for this share.
     pub fn note_pays(&mut self, category: CategoryNo, pays: [f64; 2], newest: f64) {
         let usual = self.pays.entry(category).or_insert(pays);
