Patience with a push goes by the time that the caller left

Seen by a broker as a time left under the goal time; the nodes answer others, so it is not them.

Harm: short callers' parts are done twice somewhat more often.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -384,7 +384,7 @@
             let mine = caller.quota_per_s / f64::from(self.prescription.brokers.max(1));
             rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
         });
-        self.s.hold(Retrieval::taken(id, group, category, within_share, goal_at, cut_off_at));
+        self.s.hold(Retrieval::taken(id, group, category, within_share, goal, goal_at, cut_off_at));
     }
 
     // ---- pushes
@@ -432,7 +432,7 @@
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
-        let (low, high) = (goal.times(PATIENCE_BOUNDS.0), goal.times(PATIENCE_BOUNDS.1));
+        let (low, high) = (r.goal.times(PATIENCE_BOUNDS.0), r.goal.times(PATIENCE_BOUNDS.1));
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         let patience = self.average().times(PATIENCE).max(low).min(high);
@@ -511,7 +511,7 @@
                 r.parts[at].pushes[no.0 as usize].withdrawn = true;
                 self.s.effects.push(Effect::Withdraw { part: id, push: no });
             } else {
-                self.later(self.row(&r).goal, Due::Look(id, no));
+                self.later(r.goal, Due::Look(id, no));
                 if r.scouting {
                     self.ask(&mut r);
                 }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -115,6 +115,8 @@
     pub category: CategoryNo,
     pub within_share: bool,
     pub stage: Stage,
+    /// Its goal time, or what its caller will wait if that is less.
+    pub goal: Tenths,
     pub goal_at: Tenths,
     pub cut_off_at: Tenths,
     pub second_step: bool,
@@ -278,6 +280,7 @@
         group: GroupNo,
         category: CategoryNo,
         within_share: bool,
+        goal: Tenths,
         goal_at: Tenths,
         cut_off_at: Tenths,
     ) -> Retrieval {
@@ -289,6 +292,7 @@
             category,
             within_share,
             stage,
+            goal,
             goal_at,
             cut_off_at,
             second_step,
