No part is moved in place of a push that is out; copies only

A withdrawal there stops no work and loses the answer, and what was waiting would often have come; the partners filled up.

Where copies are allowed nothing changes. Harm: a part on a hung node is lost to its retrieval where no copy may go out.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -430,13 +430,13 @@
         let (lull, cold) = (self.line_after_lull(node), self.is_cold(node));
         let call = self.s.board(node, self.prescription.layout.per_call, cold, lull);
         part.stage = PartStage::Out;
-        part.pushes.push(Push { node, sent: now, fate: Fate::Out, withdrawn: false });
+        part.pushes.push(Push { node, sent: now, fate: Fate::Out });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
         let (low, high) = (r.goal.times(PATIENCE_BOUNDS.0), r.goal.times(PATIENCE_BOUNDS.1));
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         let patience = self.average().times(PATIENCE).max(low).min(high);
-        self.s.agenda.insert((now + patience, Due::Look(id, no)));
+        self.s.agenda.extend(self.prescription.limits.copies.then_some((now + patience, Due::Look(id, no))));
     }
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
@@ -487,29 +487,22 @@
 
     /// Guards against nodes that take parts and do not answer, whatever the reason (hung, silent,
     /// standing still, cut off): once patience is up, the node has answered nothing since, and another
-    /// holder looks faster than its silence, the part is pushed there too; or in place of the first where
-    /// copies are not allowed and that looks far faster, for it loses an answer. Harm: work done twice.
+    /// holder looks faster than its silence, the part is pushed there too. Where copies are not allowed
+    /// it waits: a withdrawal loses the answer and stops no work. Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
         let push = &r.parts[at].pushes[no.0 as usize];
         let waits = r.parts[at].stage == PartStage::Out && !r.parts[at].flowing;
-        if r.stage == Asking && waits && push.fate == Fate::Out && !push.withdrawn {
+        if r.stage == Asking && waits && push.fate == Fate::Out {
             let node = self.s.nodes.get(&push.node);
             let silent = node.is_none_or(|n| n.heard_at <= push.sent);
             let here = node.map_or(self.average(), |n| self.latency(n));
-            let (copies, withdraw) = (self.prescription.limits.copies, self.prescription.limits.may_withdraw);
             let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
-            let times = if copies { 1.0 } else { PATIENCE };
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
-            let faster =
-                elsewhere.is_some_and(|there| there.times(times) < here && self.s.now + there < r.goal_at);
-            let moves = again && faster && self.further_left();
-            if moves && copies {
+            let faster = elsewhere.is_some_and(|there| there < here && self.s.now + there < r.goal_at);
+            if again && faster && self.further_left() {
                 r.parts[at].stage = PartStage::Wanted;
                 self.s.wanted.push(id);
-            } else if moves && withdraw {
-                r.parts[at].pushes[no.0 as usize].withdrawn = true;
-                self.s.effects.push(Effect::Withdraw { part: id, push: no });
             } else {
                 self.later(r.goal, Due::Look(id, no));
                 if r.scouting {
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -26,8 +26,6 @@
     pub node: NodeId,
     pub sent: Tenths,
     pub fate: Fate,
-    /// Called off by this broker, its end not yet heard.
-    pub withdrawn: bool,
 }
 
 /// The connection that a push after a lull travels on.
@@ -536,7 +534,7 @@
     /// Calls off all that a retrieval still has out, where that is allowed.
     pub fn withdraw_all(&mut self, r: &Retrieval, allowed: bool) {
         for part in r.parts.iter().filter(|part| allowed && !part.flowing) {
-            let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out && !p.withdrawn);
+            let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out);
             let withdraw = |(no, _)| Effect::Withdraw { part: part.id, push: PushNo(no as u16) };
             self.effects.extend(out.map(withdraw));
         }
