A silent scout holds its retrieval up for the patience only

Found on reading the module through: since only copies are looked after, a scout on a hung node kept its retrieval until the goal time where no copies may go out.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -346,6 +346,7 @@
     fn clear_parts(&mut self, r: &mut Retrieval) {
         self.s.withdraw_all(r, self.prescription.limits.may_withdraw);
         self.s.drop_parts(r);
+        r.fallen.clear();
         r.second_step = true;
     }
 
@@ -436,7 +437,8 @@
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         let patience = self.average().times(PATIENCE).max(low).min(high);
-        self.s.agenda.extend(self.prescription.limits.copies.then_some((now + patience, Due::Look(id, no))));
+        let looked_after = self.prescription.limits.copies || r.scouting;
+        self.s.agenda.extend(looked_after.then_some((now + patience, Due::Look(id, no))));
     }
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
@@ -497,7 +499,8 @@
             let node = self.s.nodes.get(&push.node);
             let silent = node.is_none_or(|n| n.heard_at <= push.sent);
             let here = node.map_or(self.average(), |n| self.latency(n));
-            let again = silent && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
+            let alone = silent && r.parts[at].out() == 1 && self.prescription.limits.copies;
+            let again = alone && self.may_push_again(&r, at, true);
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| there < here && self.s.now + there < r.goal_at);
             if again && faster && self.further_left() {
