--- /dev/null
+++ b/crates/broker/src/desk.rs
@@ -0,0 +1,462 @@
+//! The desk: owns the module, its clock and its wake-ups, and knows by which ids it calls things.
+
+use crate::frame::CalledPart;
+use crate::limits::{Limits, span};
+use crate::nodes::{Ended, Nodes, PushId, Sending};
+use crate::roll::Members;
+use barleydrum::{
+    Broker, CallerNo, CategoryNo, CellNo, Effect, GroupNo, Input, NewPart, NewRetrieval, NodeId, PartId,
+    Prescription, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo, Standing,
+    Tenths, ZoneNo,
+};
+use bytes::Bytes;
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until};
+use tracing::info;
+
+/// A retrieval as a front hands it over.
+pub struct Question {
+    /// What the wire calls it.
+    pub id: Bytes,
+    pub category: CategoryNo,
+    pub caller: CallerNo,
+    /// When its client stops waiting.
+    pub until: Instant,
+    pub work: Tenths,
+    pub parts: Vec<QuestionPart>,
+    pub filter: Bytes,
+}
+
+pub struct QuestionPart {
+    pub shard: ShardNo,
+    pub weight: f64,
+}
+
+/// The final word on a retrieval.
+#[derive(Debug)]
+pub enum Verdict {
+    Answer { whole: bool, items: Vec<(ShardNo, Bytes)> },
+    Decline { stay_away: Tenths },
+    Scrap,
+}
+
+/// Why a retrieval was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// As much is held as may be.
+    Full,
+    /// One of that id is open.
+    Known,
+}
+
+struct Open {
+    id: Bytes,
+    category: CategoryNo,
+    until: Tenths,
+    parts: Vec<PartId>,
+    filter: Bytes,
+    bytes: usize,
+    tell: oneshot::Sender<Verdict>,
+}
+
+struct OpenPart {
+    retrieval: RetrievalId,
+    shard: ShardNo,
+    wire_id: Bytes,
+    pushes: u16,
+    value: Option<Bytes>,
+}
+
+/// Retrievals and parts that are open, and what the wire calls them.
+#[derive(Default)]
+struct Book {
+    retrievals: HashMap<RetrievalId, Open>,
+    parts: HashMap<PartId, OpenPart>,
+    wire_ids: HashSet<Bytes>,
+    last_id: u64,
+    /// Bytes held for them.
+    bytes: usize,
+}
+
+/// Pushes that are out.
+#[derive(Default)]
+struct Pushes {
+    out: HashMap<PushId, (NodeId, Tenths, Tenths)>,
+    time_outs: BTreeSet<(Tenths, PushId)>,
+}
+
+/// The ids of nodes and zones.
+#[derive(Default)]
+struct Names {
+    nodes: HashMap<String, NodeId>,
+    zones: Vec<String>,
+    last_node: u64,
+}
+
+pub struct Desk {
+    limits: Rc<Limits>,
+    nodes: Rc<Nodes>,
+    broker: RefCell<Broker>,
+    two_steps: Vec<bool>,
+    started: (Instant, Tenths),
+    heard: RefCell<Vec<Input>>,
+    book: RefCell<Book>,
+    pushes: RefCell<Pushes>,
+    names: RefCell<Names>,
+    wake_at: Cell<Option<Tenths>>,
+    bell: Notify,
+    ready: Cell<bool>,
+    /// Rung when the module wants the roll followed.
+    pub roll_wanted: Notify,
+    /// Rung when the last open retrieval has ended.
+    pub all_ended: Notify,
+}
+
+impl Desk {
+    pub fn new(
+        prescription: Prescription,
+        zones: Vec<String>,
+        two_steps: Vec<bool>,
+        seed: u64,
+        limits: Rc<Limits>,
+    ) -> Rc<Desk> {
+        // The roll tells starts in Unix time, so the clock counts from there, and only ever forward.
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let now = Tenths((unix.as_micros() / 100) as i64);
+        Rc::new(Desk {
+            nodes: Nodes::new(limits.clone()),
+            limits,
+            broker: RefCell::new(Broker::start(prescription, seed, now)),
+            two_steps,
+            started: (Instant::now(), now),
+            heard: RefCell::new(vec![Input::Woken]),
+            book: RefCell::default(),
+            pushes: RefCell::default(),
+            names: RefCell::new(Names { zones, ..Names::default() }),
+            wake_at: Cell::default(),
+            bell: Notify::new(),
+            ready: Cell::default(),
+            roll_wanted: Notify::new(),
+            all_ended: Notify::new(),
+        })
+    }
+
+    fn tenths(&self, at: Instant) -> Tenths {
+        self.started.1 + Tenths((at.saturating_duration_since(self.started.0).as_micros() / 100) as i64)
+    }
+
+    fn instant(&self, at: Tenths) -> Instant {
+        self.started.0 + span(at - self.started.1)
+    }
+
+    fn hear(&self, input: Input) {
+        self.heard.borrow_mut().push(input);
+        self.bell.notify_one();
+    }
+
+    // ---- what fronts call
+
+    /// Whether nodes are known to send to.
+    pub fn can_serve(&self) -> bool {
+        self.ready.get()
+    }
+
+    pub fn open_retrievals(&self) -> usize {
+        self.book.borrow().retrievals.len()
+    }
+
+    /// Takes a retrieval, unless a bound is reached. Dropping what comes back tells that the caller left.
+    pub fn take(self: &Rc<Self>, question: Question) -> Result<Taken, NotTaken> {
+        let mut book = self.book.borrow_mut();
+        let bytes = question.id.len() * (question.parts.len() + 1) + question.filter.len();
+        let held = book.retrievals.len() + book.parts.len();
+        if held + question.parts.len() + 1 > self.limits.most_open || book.bytes + bytes > self.limits.held {
+            return Err(NotTaken::Full);
+        }
+        if !book.wire_ids.insert(question.id.clone()) {
+            return Err(NotTaken::Known);
+        }
+        book.bytes += bytes;
+        let mut next = || {
+            book.last_id += 1;
+            book.last_id
+        };
+        let id = RetrievalId(next());
+        let parts: Vec<PartId> = question.parts.iter().map(|_| PartId(next())).collect();
+        let group = GroupNo(id.0 as u32);
+        let until = self.tenths(question.until);
+        let mut heard = self.heard.borrow_mut();
+        heard.push(Input::Retrieval(NewRetrieval {
+            id,
+            group,
+            category: question.category,
+            caller: question.caller,
+            time_left: Tenths::ZERO, // filled in when the turn comes
+            work: question.work,
+        }));
+        for (part, &QuestionPart { shard, weight }) in parts.iter().zip(&question.parts) {
+            heard.push(Input::Part(NewPart { id: *part, group, shard, weight }));
+            let wire_id = [&question.id[..], b".", shard.0.to_string().as_bytes()].concat().into();
+            book.parts.insert(*part, OpenPart { retrieval: id, shard, wire_id, pushes: 0, value: None });
+        }
+        let (tell, verdict) = oneshot::channel();
+        let Question { id: wire_id, category, filter, .. } = question;
+        let open = Open { id: wire_id, category, until, parts, filter, bytes, tell };
+        book.retrievals.insert(id, open);
+        self.bell.notify_one();
+        Ok(Taken { desk: self.clone(), id, verdict })
+    }
+
+    /// Strikes a retrieval from the book.
+    fn close(&self, id: RetrievalId) -> Option<(Open, Vec<(ShardNo, Bytes)>)> {
+        let mut book = self.book.borrow_mut();
+        let open = book.retrievals.remove(&id)?;
+        let parts: Vec<OpenPart> = open.parts.iter().filter_map(|part| book.parts.remove(part)).collect();
+        let items: Vec<_> = parts.into_iter().filter_map(|p| Some((p.shard, p.value?))).collect();
+        book.bytes -= open.bytes + items.iter().map(|(_, value)| value.len()).sum::<usize>();
+        book.wire_ids.remove(&open.id);
+        if book.retrievals.is_empty() {
+            self.all_ended.notify_waiters();
+        }
+        Some((open, items))
+    }
+
+    // ---- what discovery calls
+
+    pub fn roll_failed(&self) {
+        self.hear(Input::RollFailed);
+    }
+
+    /// Puts a roll into the module's ids.
+    pub fn hear_roll(&self, kind: RollKind, members: Members) {
+        let mut names = self.names.borrow_mut();
+        if kind != RollKind::Changes {
+            let listed: HashSet<&str> = members.members.iter().map(|member| &member.id[..]).collect();
+            names.nodes.retain(|name, node| {
+                let stays = listed.contains(&name[..]);
+                if !stays {
+                    self.nodes.listens(*node, None);
+                }
+                stays
+            });
+        }
+        let mut entries = Vec::with_capacity(members.members.len());
+        for member in members.members {
+            let standing = Standing::from(member.phase);
+            self.ready.set(self.ready.get() || standing == Standing::Ready);
+            let next = names.last_node + 1;
+            let node = *names.nodes.entry(member.id.clone()).or_insert(NodeId(next));
+            names.last_node = names.last_node.max(node.0);
+            self.nodes.listens(node, (standing != Standing::Gone).then_some(member.host_port));
+            if standing == Standing::Gone {
+                names.nodes.remove(&member.id);
+            }
+            let known = names.zones.iter().position(|zone| *zone == member.locality);
+            let zone = known.unwrap_or_else(|| {
+                names.zones.push(member.locality);
+                names.zones.len() - 1
+            });
+            entries.push(RollEntry {
+                node,
+                zone: ZoneNo(zone as u16),
+                cell: CellNo(member.cell),
+                standing,
+                started: (member.up_since_ms > 0.0).then(|| Tenths::from_ms(member.up_since_ms)),
+            });
+        }
+        self.hear(Input::Roll(Roll { kind, entries: entries.into() }));
+    }
+
+    // ---- turns
+
+    /// Gives the module its turns, at least the period apart, for as long as the broker runs.
+    pub async fn run(self: Rc<Self>) {
+        let period = span(self.limits.period);
+        let mut last: Option<Instant> = None;
+        loop {
+            let due = self.next_due();
+            if self.heard.borrow().is_empty() && due.is_none_or(|due| due > Instant::now()) {
+                let far = Instant::now() + Duration::from_secs(3600);
+                tokio::select! {
+                    () = self.bell.notified() => {}
+                    () = self.nodes.bell.notified() => self.fetch_ended(),
+                    () = sleep_until(due.unwrap_or(far)) => {}
+                }
+                continue;
+            }
+            if let Some(last) = last {
+                sleep_until(last + period).await;
+            }
+            last = Some(Instant::now());
+            self.turn();
+        }
+    }
+
+    /// When the next wake-up or time-out is due.
+    fn next_due(&self) -> Option<Instant> {
+        let time_out = self.pushes.borrow().time_outs.first().map(|(at, _)| *at);
+        self.wake_at.get().into_iter().chain(time_out).min().map(|at| self.instant(at))
+    }
+
+    /// Takes over the ends of pushes, with the values that came.
+    fn fetch_ended(&self) {
+        for Ended { push: (part, push), end, value, at } in self.nodes.fetch_ended() {
+            let Some((node, sent, time_out)) = self.pushes.borrow_mut().out.remove(&(part, push)) else {
+                continue;
+            };
+            self.pushes.borrow_mut().time_outs.remove(&(time_out, (part, push)));
+            let end = if self.keep_value(part, value) { end } else { PushEnd::Errored };
+            let took = self.tenths(at) - sent;
+            self.heard.borrow_mut().push(Input::Outcome(PushOutcome { part, push, node, end, took }));
+        }
+    }
+
+    /// Keeps a value for its retrieval, if that is still open and there is room for it.
+    fn keep_value(&self, part: PartId, value: Option<Bytes>) -> bool {
+        let Some(value) = value else { return true };
+        let mut book = self.book.borrow_mut();
+        let fits = book.bytes + value.len() <= self.limits.held;
+        let Some(open) = book.parts.get_mut(&part) else { return true };
+        if open.value.is_none() && fits {
+            let length = value.len();
+            // A copy of its own: the connection's buffer is not held on to for a few bytes of it.
+            open.value = Some(Bytes::copy_from_slice(&value));
+            book.bytes += length;
+            return true;
+        }
+        open.value.is_some()
+    }
+
+    fn turn(&self) {
+        let now = self.tenths(Instant::now());
+        loop {
+            let first = self.pushes.borrow().time_outs.first().copied();
+            let Some((at, push)) = first.filter(|(at, _)| *at <= now) else { break };
+            self.pushes.borrow_mut().time_outs.remove(&(at, push));
+            self.nodes.give_up(push, PushEnd::TimedOut);
+        }
+        self.fetch_ended();
+        let mut heard = self.heard.take();
+        if self.wake_at.get().is_some_and(|at| at <= now) {
+            self.wake_at.set(None);
+            heard.push(Input::Woken);
+        }
+        for input in &mut heard {
+            if let Input::Retrieval(new) = input {
+                // It runs from when the client sent it, not from this turn.
+                let until = self.book.borrow().retrievals.get(&new.id).map(|open| open.until);
+                new.time_left = (until.unwrap_or(now) - now).max(Tenths::ZERO);
+            }
+        }
+        let effects = self.broker.borrow_mut().turn(now, &heard);
+        let mut calls: BTreeMap<NodeId, Vec<Sending>> = BTreeMap::new();
+        for effect in effects {
+            match effect {
+                Effect::Push { part, node, time_out } => {
+                    if let Some(sending) = self.push(now, part, node, time_out) {
+                        calls.entry(node).or_default().push(sending);
+                    }
+                }
+                Effect::Withdraw { part, push } => self.nodes.give_up((part, push), PushEnd::Withdrawn),
+                Effect::Answer { retrieval, whole } => self.answer(retrieval, whole),
+                Effect::Decline { retrieval, stay_away } => {
+                    self.tell(retrieval, |_| Verdict::Decline { stay_away });
+                }
+                Effect::Scrap { retrieval } => self.tell(retrieval, |_| Verdict::Scrap),
+                Effect::CloseIdle { node } => self.nodes.close_idle(node),
+                Effect::Wake { after } => {
+                    let at = now + after;
+                    self.wake_at.set(Some(self.wake_at.get().map_or(at, |sooner| sooner.min(at))));
+                }
+                Effect::FollowRoll => self.roll_wanted.notify_one(),
+                Effect::Say(line) => info!("{line}"),
+            }
+        }
+        for (node, sendings) in calls {
+            for call in self.split_calls(sendings) {
+                self.nodes.send(node, call);
+            }
+        }
+    }
+
+    /// Enters a push, and puts it into the wire's terms.
+    fn push(&self, now: Tenths, id: PartId, node: NodeId, time_out: Tenths) -> Option<Sending> {
+        let mut book = self.book.borrow_mut();
+        let Some(part) = book.parts.get_mut(&id) else {
+            let push =
+                PushOutcome { part: id, push: PushNo(0), node, end: PushEnd::NotSent, took: Tenths::ZERO };
+            self.hear(Input::Outcome(push));
+            return None;
+        };
+        let push = (id, PushNo(part.pushes));
+        part.pushes += 1;
+        let (retrieval, shard, wire_id) = (part.retrieval, part.shard.0, part.wire_id.clone());
+        let filter = book.retrievals.get(&retrieval)?.filter.clone();
+        let mut pushes = self.pushes.borrow_mut();
+        pushes.out.insert(push, (node, now, now + time_out));
+        pushes.time_outs.insert((now + time_out, push));
+        let wait_ms = span(time_out).as_millis().max(1) as u64;
+        Some(Sending { push, part: CalledPart { id: wire_id, shard, wait_ms, filter } })
+    }
+
+    /// A turn's pushes to one node, in calls of no more parts and bytes than a call may have.
+    fn split_calls(&self, sendings: Vec<Sending>) -> Vec<Vec<Sending>> {
+        let mut calls: Vec<Vec<Sending>> = Vec::new();
+        let mut bytes = 0;
+        for sending in sendings {
+            let more = sending.part.filter.len() + 2 * sending.part.id.len();
+            match calls.last_mut() {
+                Some(call) if call.len() < self.limits.call_parts && bytes + more <= self.limits.frame => {
+                    bytes += more;
+                    call.push(sending);
+                }
+                _ => {
+                    bytes = more;
+                    calls.push(vec![sending]);
+                }
+            }
+        }
+        calls
+    }
+
+    /// A category with a second step is never whole here: the protocol has no such step.
+    fn answer(&self, id: RetrievalId, whole: bool) {
+        let category = self.book.borrow().retrievals.get(&id).map(|open| open.category.0);
+        let two_steps = category.is_some_and(|category| self.two_steps.get(category as usize) == Some(&true));
+        self.tell(id, |items| Verdict::Answer { whole: whole && !two_steps, items });
+    }
+
+    fn tell(&self, id: RetrievalId, verdict: impl FnOnce(Vec<(ShardNo, Bytes)>) -> Verdict) {
+        if let Some((open, items)) = self.close(id) {
+            // One who has just left hears nothing.
+            let _ = open.tell.send(verdict(items));
+        }
+    }
+}
+
+/// A retrieval that was taken and waits for its verdict.
+pub struct Taken {
+    desk: Rc<Desk>,
+    id: RetrievalId,
+    verdict: oneshot::Receiver<Verdict>,
+}
+
+impl Taken {
+    /// Waits for the final word.
+    pub async fn verdict(mut self) -> Verdict {
+        (&mut self.verdict).await.unwrap_or(Verdict::Scrap)
+    }
+}
+
+impl Drop for Taken {
+    /// Guards against work for callers that have left: dropped before its verdict, it tells the module.
+    fn drop(&mut self) {
+        if self.desk.close(self.id).is_some() {
+            self.desk.hear(Input::CallerLeft(self.id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/frame.rs
@@ -0,0 +1,131 @@
+//! Frames between the broker and a node: a length, a letter, the rest.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use std::io;
+use tokio_util::codec::{Decoder, Encoder};
+
+const PREFIX: usize = 4;
+
+/// One part as a call carries it.
+#[derive(Clone, Debug)]
+pub struct CalledPart {
+    pub id: Bytes,
+    pub shard: u32,
+    pub wait_ms: u64,
+    pub filter: Bytes,
+}
+
+#[derive(Clone, Debug)]
+pub enum ToNode {
+    Call(Vec<CalledPart>),
+    GiveUp(Bytes),
+}
+
+/// How a node ended a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NodeEnd {
+    Served,
+    Error,
+    TurnedAway,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FromNode {
+    Ended {
+        id: Bytes,
+        end: NodeEnd,
+        value: Bytes,
+    },
+    /// The node's reason for closing the connection.
+    Unusable(String),
+    /// A probe's answer; none was asked for.
+    Aside,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum BadFrame {
+    #[error("a frame of {0} bytes")]
+    Size(usize),
+    #[error("a frame `{}`", char::from(*.0).escape_default())]
+    Letter(u8),
+    #[error("an end of a part that can't be read")]
+    End,
+    #[error(transparent)]
+    Io(#[from] io::Error),
+}
+
+/// The codec; a frame longer than `most` is bad.
+pub struct Frames {
+    pub most: usize,
+}
+
+impl Encoder<ToNode> for Frames {
+    type Error = io::Error;
+
+    fn encode(&mut self, frame: ToNode, to: &mut BytesMut) -> io::Result<()> {
+        let start = to.len();
+        to.put_u32_le(0);
+        match frame {
+            ToNode::Call(parts) => {
+                to.put_u8(b'1');
+                for part in parts {
+                    to.put_slice(&part.id);
+                    let rest = format!(" {} d={} {}\n", part.shard, part.wait_ms, part.filter.len());
+                    to.put_slice(rest.as_bytes());
+                    to.put_slice(&part.filter);
+                }
+            }
+            ToNode::GiveUp(id) => {
+                to.put_u8(b'2');
+                to.put_slice(&id);
+            }
+        }
+        let length = (to.len() - start - PREFIX) as u32;
+        to[start..start + PREFIX].copy_from_slice(&length.to_le_bytes());
+        Ok(())
+    }
+}
+
+impl Decoder for Frames {
+    type Item = FromNode;
+    type Error = BadFrame;
+
+    fn decode(&mut self, from: &mut BytesMut) -> Result<Option<FromNode>, BadFrame> {
+        let Some(prefix) = from.first_chunk::<PREFIX>() else { return Ok(None) };
+        let length = u32::from_le_bytes(*prefix) as usize;
+        // Checked before anything is set aside for it: the length is the peer's word.
+        if length == 0 || length > self.most {
+            return Err(BadFrame::Size(length));
+        }
+        if from.len() < PREFIX + length {
+            from.reserve(PREFIX + length - from.len());
+            return Ok(None);
+        }
+        from.advance(PREFIX);
+        let mut rest = from.split_to(length).freeze();
+        match rest.get_u8() {
+            b'3' | b'4' => Ok(Some(FromNode::Aside)),
+            b'5' => ended(rest).map(Some).ok_or(BadFrame::End),
+            b'X' => Ok(Some(FromNode::Unusable(String::from_utf8_lossy(&rest).into_owned()))),
+            other => Err(BadFrame::Letter(other)),
+        }
+    }
+}
+
+/// Reads `ID END SCORE REPORT`, a line feed, and the value.
+fn ended(mut rest: Bytes) -> Option<FromNode> {
+    let line_end = rest.iter().position(|byte| *byte == b'\n')?;
+    let line = rest.split_to(line_end);
+    rest.advance(1);
+    let fields: Vec<&[u8]> = line.split(|byte| *byte == b' ').collect();
+    let [id, end, _score, _report] = fields[..] else { return None };
+    let end = match end {
+        b"S" => NodeEnd::Served,
+        b"E" => NodeEnd::Error,
+        b"B" => NodeEnd::TurnedAway,
+        _ => return None,
+    };
+    // A value is passed on within JSON, which holds text only.
+    std::str::from_utf8(&rest).ok()?;
+    Some(FromNode::Ended { id: line.slice_ref(id), end, value: rest })
+}
--- /dev/null
+++ b/crates/broker/src/lib.rs
@@ -0,0 +1,90 @@
+//! A broker of barleydrum's on real sockets: clients and discovery by HTTP, nodes by frames.
+//!
+//! ```no_run
+//! # async fn example() -> Result<(), Box<dyn std::error::Error>> {
+//! let order = broker::Order::from_env()?;
+//! let running = broker::start(order).await?; // within a single-threaded `actix_rt` runtime
+//! println!("serving on {}", running.listens);
+//! running.leave().await;
+//! # Ok(()) }
+//! ```
+//!
+//! A front of another kind takes the desk's place of `front` and `retrieval`: it makes a
+//! [`desk::Question`], hands it to [`desk::Desk::take`] and waits for the [`desk::Verdict`].
+
+pub mod desk;
+pub mod frame;
+pub mod front;
+mod leave;
+pub mod limits;
+pub mod nodes;
+pub mod retrieval;
+pub mod roll;
+mod start;
+
+pub use leave::told;
+pub use start::Order;
+
+use barleydrum::RollKind;
+use desk::Desk;
+use front::Front;
+use limits::Limits;
+use retrieval::Counter;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::net::TcpListener;
+use tracing::{error, info, warn};
+
+/// A broker that serves.
+pub struct Running {
+    pub listens: SocketAddr,
+    pub desk: Rc<Desk>,
+    front: Rc<Front>,
+    limits: Rc<Limits>,
+}
+
+/// Starts a broker on the current thread, within an `actix_rt` runtime.
+pub async fn start(order: Order) -> io::Result<Running> {
+    let listener = TcpListener::bind(order.listen).await?;
+    let listens = listener.local_addr()?;
+    let limits = Rc::new(order.limits);
+    let (prescription, names) = (order.intake.prescription, order.intake.names);
+    if order.two_steps.contains(&true) {
+        warn!("a category has a second step, which this protocol lacks: its answers are never marked whole");
+    }
+    let shards = prescription.layout.shards;
+    let desk = Desk::new(prescription, names.zones.clone(), order.two_steps, order.seed, limits.clone());
+    if let Some(known) = order.known {
+        desk.hear_roll(RollKind::Remembered, known);
+    }
+    let counter = Counter { desk: desk.clone(), names, shards, limits: limits.clone() };
+    let front = Front::new(counter);
+    actix_rt::spawn(desk.clone().run());
+    actix_rt::spawn(roll::follow(desk.clone(), limits.clone(), order.discovery));
+    actix_rt::spawn(front.clone().run(listener));
+    info!("{} serves on {listens}", order.name);
+    Ok(Running { listens, desk, front, limits })
+}
+
+/// The program: starts as the environment says, serves until told to leave.
+pub fn run() -> ExitCode {
+    tracing_subscriber::fmt().with_ansi(false).with_writer(io::stderr).with_target(false).init();
+    let served = Order::from_env().and_then(|order| {
+        let runtime = actix_rt::Runtime::new().map_err(|e| e.to_string())?;
+        runtime.block_on(async {
+            let running = start(order).await.map_err(|e| e.to_string())?;
+            told().await.map_err(|e| e.to_string())?;
+            running.leave().await;
+            Ok(())
+        })
+    });
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            error!("can't serve: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/limits.rs
@@ -0,0 +1,105 @@
+//! All sizes, counts and times of the broker on sockets, filled at start and handed down.
+
+use barleydrum::Tenths;
+use intake::Intake;
+use std::time::Duration;
+
+/// What the machine gives the broker.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    pub memory_mb: usize,
+    pub sockets: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Connections of clients served at once; those beyond, as far as `surplus` goes, are declined.
+    pub client_lines: usize,
+    pub surplus_lines: usize,
+    /// Connections to nodes.
+    pub node_lines: usize,
+    /// Retrievals and parts held at once.
+    pub most_open: usize,
+    /// Bytes of questions and values held at once.
+    pub held: usize,
+    /// Bytes of one body, and of one frame.
+    pub body: usize,
+    pub frame: usize,
+    /// Bytes of a retrieval's id.
+    pub id: usize,
+    /// How far the weights of a retrieval may be from 1 in sum.
+    pub weight_slack: f64,
+    /// Parts in one call, and on one connection to a node.
+    pub call_parts: usize,
+    pub line_parts: usize,
+    pub connect: Duration,
+    /// A connection to a node is closed when it stood idle for so long.
+    pub node_idle: Duration,
+    /// A peer that neither takes nor sends what is due for so long is let go.
+    pub slow: Duration,
+    /// How long a client's connection may stand idle.
+    pub keep_alive: Duration,
+    /// How often peers are looked over.
+    pub sweep: Duration,
+    /// The longest that a client may say it waits.
+    pub longest_wait: Duration,
+    /// The wait that discovery is asked for, and what its answer may take beyond that.
+    pub watch: Duration,
+    pub watch_slack: Duration,
+    /// New connections keep coming for so long after the word to leave.
+    pub last_moment: Duration,
+    /// Least time between two turns.
+    pub period: Tenths,
+}
+
+/// Files, pipes, the listener, discovery: what needs a descriptor beside peers.
+const OWN: usize = 32;
+const KIB: usize = 1024;
+
+impl Limits {
+    /// An error says what the machine has too little of.
+    pub fn new(machine: Machine, intake: &Intake) -> Result<Limits, String> {
+        let Machine { memory_mb, sockets } = machine;
+        let for_peers = sockets.saturating_sub(OWN);
+        if for_peers < OWN {
+            return Err(format!("limits: {sockets} sockets are too few, {} are needed", 2 * OWN));
+        }
+        if memory_mb < OWN {
+            return Err(format!("limits: {memory_mb} MB of memory are too little, {OWN} are needed"));
+        }
+        let surplus_lines = for_peers / 16;
+        let p = &intake.prescription;
+        let line_parts = intake.lines.parts.unwrap_or(1).max(1) as usize;
+        let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
+        Ok(Limits {
+            client_lines: for_peers / 2 - surplus_lines,
+            surplus_lines,
+            node_lines: for_peers / 2,
+            most_open: p.limits.most_open as usize,
+            held: memory_mb * KIB * KIB / 4,
+            body: 64 * KIB,
+            frame: 64 * KIB,
+            id: 128,
+            weight_slack: 0.01,
+            call_parts: (p.layout.per_call.max(1) as usize).min(line_parts),
+            line_parts,
+            connect: intake.lines.connect.map_or(Duration::from_secs(1), span),
+            node_idle: idle.mul_f64(0.8),
+            slow: Duration::from_secs(5),
+            keep_alive: Duration::from_secs(600),
+            sweep: Duration::from_secs(1),
+            longest_wait: Duration::from_secs(600),
+            watch: span(p.rules.ask_within)
+                .div_f64(2.0)
+                .clamp(Duration::from_secs(1), Duration::from_secs(60)),
+            watch_slack: Duration::from_secs(2),
+            last_moment: Duration::from_millis(500),
+            period: p.period,
+        })
+    }
+}
+
+/// A span of the library as one of the clock.
+pub fn span(tenths: Tenths) -> Duration {
+    Duration::from_micros(u64::try_from(tenths.0).unwrap_or(0).saturating_mul(100))
+}
--- /dev/null
+++ b/crates/broker/src/nodes.rs
@@ -0,0 +1,309 @@
+//! Connections to nodes. Sends the calls it is handed, and tells of each push exactly one end.
+
+use crate::frame::{CalledPart, Frames, FromNode, NodeEnd, ToNode};
+use crate::limits::Limits;
+use barleydrum::{NodeId, PartId, PushEnd, PushNo};
+use bytes::Bytes;
+use futures_util::{SinkExt, StreamExt};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until, timeout};
+use tokio_util::codec::{FramedRead, FramedWrite};
+use tracing::{debug, warn};
+
+pub type PushId = (PartId, PushNo);
+
+/// A push as it is to be sent.
+#[derive(Debug)]
+pub struct Sending {
+    pub push: PushId,
+    pub part: CalledPart,
+}
+
+/// The one end of a push, with the value that it brought.
+pub struct Ended {
+    pub push: PushId,
+    pub end: PushEnd,
+    pub value: Option<Bytes>,
+    pub at: Instant,
+}
+
+/// How far the frame of a push has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    Not,
+    Partly,
+    Whole,
+}
+
+struct Out {
+    push: PushId,
+    written: Written,
+}
+
+enum Queued {
+    Call(Vec<CalledPart>),
+    GiveUp(Bytes),
+}
+
+/// One connection to a node, from the first try to connect on.
+struct Line {
+    node: NodeId,
+    address: SocketAddr,
+    /// Pushes that are out on it, by the id that the wire knows them by.
+    out: RefCell<HashMap<Bytes, Out>>,
+    queue: RefCell<VecDeque<Queued>>,
+    ring: Notify,
+    idle_since: Cell<Instant>,
+    /// Nothing more is put on it; it closes once nothing is out.
+    closing: Cell<bool>,
+}
+
+pub struct Nodes {
+    limits: Rc<Limits>,
+    addresses: RefCell<HashMap<NodeId, SocketAddr>>,
+    lines: RefCell<HashMap<NodeId, Vec<Rc<Line>>>>,
+    pushes: RefCell<HashMap<PushId, (Rc<Line>, Bytes)>>,
+    /// Ends that nobody has fetched yet.
+    ended: RefCell<Vec<Ended>>,
+    /// Rung when there are some.
+    pub bell: Notify,
+}
+
+impl Nodes {
+    pub fn new(limits: Rc<Limits>) -> Rc<Nodes> {
+        Rc::new(Nodes {
+            limits,
+            addresses: RefCell::default(),
+            lines: RefCell::default(),
+            pushes: RefCell::default(),
+            ended: RefCell::default(),
+            bell: Notify::new(),
+        })
+    }
+
+    /// Where a node listens from now on; none: it is gone. Idle connections elsewhere are closed.
+    pub fn listens(&self, node: NodeId, address: Option<SocketAddr>) {
+        match address {
+            Some(address) => _ = self.addresses.borrow_mut().insert(node, address),
+            None => _ = self.addresses.borrow_mut().remove(&node),
+        }
+        if let Some(lines) = self.lines.borrow().get(&node) {
+            lines.iter().filter(|line| Some(line.address) != address).for_each(|line| line.close());
+        }
+    }
+
+    /// Ends since the last time, in the order in which they came.
+    pub fn fetch_ended(&self) -> Vec<Ended> {
+        self.ended.take()
+    }
+
+    fn end(&self, push: PushId, end: PushEnd, value: Option<Bytes>) {
+        if self.pushes.borrow_mut().remove(&push).is_some() {
+            self.ended.borrow_mut().push(Ended { push, end, value, at: Instant::now() });
+            self.bell.notify_one();
+        }
+    }
+
+    /// Sends one call.
+    pub fn send(self: &Rc<Self>, node: NodeId, call: Vec<Sending>) {
+        let Some(line) = self.line_for(node, call.len()) else {
+            for sending in call {
+                let (end, at) = (PushEnd::NoConnection, Instant::now());
+                self.ended.borrow_mut().push(Ended { push: sending.push, end, value: None, at });
+            }
+            return self.bell.notify_one();
+        };
+        let mut parts = Vec::with_capacity(call.len());
+        for Sending { push, part } in call {
+            let before = line.out.borrow_mut().insert(part.id.clone(), Out { push, written: Written::Not });
+            // The same part again on one connection: what is heard from now on is the newer push's.
+            before.into_iter().for_each(|before| self.end(before.push, PushEnd::Dropped, None));
+            self.pushes.borrow_mut().insert(push, (line.clone(), part.id.clone()));
+            parts.push(part);
+        }
+        line.queue.borrow_mut().push_back(Queued::Call(parts));
+        line.ring.notify_one();
+    }
+
+    /// Gives a push up. One that was never written is known not to have run, whatever `end` says.
+    pub fn give_up(&self, push: PushId, end: PushEnd) {
+        let Some((line, id)) = self.pushes.borrow().get(&push).cloned() else { return };
+        let written = line.out.borrow_mut().remove(&id).map_or(Written::Not, |out| out.written);
+        line.idle_since.set(Instant::now());
+        if written == Written::Not {
+            for queued in line.queue.borrow_mut().iter_mut() {
+                if let Queued::Call(parts) = queued {
+                    parts.retain(|part| part.id != id);
+                }
+            }
+        } else {
+            line.queue.borrow_mut().push_back(Queued::GiveUp(id));
+        }
+        line.ring.notify_one();
+        let unsent = written == Written::Not && end == PushEnd::TimedOut;
+        self.end(push, if unsent { PushEnd::NoConnection } else { end }, None);
+    }
+
+    /// Closes the idle connections to a node.
+    pub fn close_idle(&self, node: NodeId) {
+        if let Some(lines) = self.lines.borrow().get(&node) {
+            lines.iter().filter(|line| line.is_idle()).for_each(|line| line.close());
+        }
+    }
+
+    /// A connection with room for so many parts, or a new one while there may be more.
+    fn line_for(self: &Rc<Self>, node: NodeId, parts: usize) -> Option<Rc<Line>> {
+        let address = *self.addresses.borrow().get(&node)?;
+        let open: Vec<Rc<Line>> = {
+            let lines = self.lines.borrow();
+            let lines = lines.get(&node).into_iter().flatten();
+            lines.filter(|line| !line.closing.get() && line.address == address).cloned().collect()
+        };
+        let fits = |line: &&Rc<Line>| {
+            let out = line.out.borrow().len();
+            out == 0 || out + parts <= self.limits.line_parts
+        };
+        // The oldest first, so that those beyond need fall idle.
+        if let Some(line) = open.iter().find(fits) {
+            return Some(line.clone());
+        }
+        let all: usize = self.lines.borrow().values().map(Vec::len).sum();
+        if all >= self.limits.node_lines {
+            let lines = self.lines.borrow();
+            let idle = lines.values().flatten().filter(|line| line.is_idle() && !line.closing.get());
+            match idle.min_by_key(|line| line.idle_since.get()) {
+                Some(line) => line.close(),
+                // No descriptor is left: what goes out joins the others, and waits unread.
+                None => return open.into_iter().min_by_key(|line| line.out.borrow().len()),
+            }
+        }
+        let line = Rc::new(Line {
+            node,
+            address,
+            out: RefCell::default(),
+            queue: RefCell::default(),
+            ring: Notify::new(),
+            idle_since: Cell::new(Instant::now()),
+            closing: Cell::new(false),
+        });
+        self.lines.borrow_mut().entry(node).or_default().push(line.clone());
+        actix_rt::spawn(self.clone().live(line.clone()));
+        Some(line)
+    }
+
+    /// The life of one connection, to its end.
+    async fn live(self: Rc<Self>, line: Rc<Line>) {
+        match timeout(self.limits.connect, TcpStream::connect(line.address)).await {
+            Ok(Ok(mut stream)) => {
+                if let Err(e) = stream.set_nodelay(true) {
+                    debug!(node = %line.address, "no-delay: {e}");
+                }
+                line.idle_since.set(Instant::now());
+                let (reading, writing) = stream.split();
+                tokio::select! {
+                    () = self.read(&line, reading) => {}
+                    () = self.write(&line, writing) => {}
+                }
+            }
+            Ok(Err(e)) => debug!(node = %line.address, "no connection: {e}"),
+            Err(_) => debug!(node = %line.address, "no connection in time"),
+        }
+        line.closing.set(true);
+        if let Some(lines) = self.lines.borrow_mut().get_mut(&line.node) {
+            lines.retain(|other| !Rc::ptr_eq(other, &line));
+        }
+        let mut lost: Vec<Out> = line.out.take().into_values().collect();
+        lost.sort_by_key(|out| out.push);
+        for out in lost {
+            let never_ran = out.written != Written::Whole;
+            self.end(out.push, if never_ran { PushEnd::NoConnection } else { PushEnd::Dropped }, None);
+        }
+    }
+
+    /// Reads until the node ends the connection, or sends what can't be read.
+    async fn read(&self, line: &Line, reading: ReadHalf<'_>) {
+        let mut frames = FramedRead::new(reading, Frames { most: self.limits.frame });
+        while let Some(frame) = frames.next().await {
+            line.idle_since.set(Instant::now());
+            match frame {
+                Ok(FromNode::Ended { id, end, value }) => {
+                    // One that was given up may still answer; then nobody waits for it.
+                    let Some(out) = line.out.borrow_mut().remove(&id) else { continue };
+                    line.ring.notify_one();
+                    match end {
+                        NodeEnd::Served => self.end(out.push, PushEnd::Finished, Some(value)),
+                        NodeEnd::Error => self.end(out.push, PushEnd::Errored, None),
+                        NodeEnd::TurnedAway => self.end(out.push, PushEnd::Full, None),
+                    }
+                }
+                Ok(FromNode::Aside) => {}
+                Ok(FromNode::Unusable(words)) => {
+                    return warn!(node = %line.address, "the node closes: {words}");
+                }
+                Err(e) => return warn!(node = %line.address, "connection closed on a bad frame: {e}"),
+            }
+        }
+    }
+
+    /// Writes what is queued, until the peer takes nothing more or the connection has been idle too long.
+    async fn write(&self, line: &Line, writing: WriteHalf<'_>) {
+        let mut frames = FramedWrite::new(writing, Frames { most: self.limits.frame });
+        loop {
+            let next = line.queue.borrow_mut().pop_front();
+            let (frame, ids) = match next {
+                Some(Queued::Call(parts)) if parts.is_empty() => continue,
+                Some(Queued::Call(parts)) => {
+                    let ids: Vec<Bytes> = parts.iter().map(|part| part.id.clone()).collect();
+                    (ToNode::Call(parts), ids)
+                }
+                Some(Queued::GiveUp(id)) => (ToNode::GiveUp(id), Vec::new()),
+                None if line.out.borrow().is_empty() => {
+                    let until = line.idle_since.get() + self.limits.node_idle;
+                    if line.closing.get() || Instant::now() >= until {
+                        return line.closing.set(true);
+                    }
+                    tokio::select! {
+                        () = line.ring.notified() => {}
+                        () = sleep_until(until) => {}
+                    }
+                    continue;
+                }
+                None => {
+                    line.ring.notified().await;
+                    continue;
+                }
+            };
+            line.mark(&ids, Written::Partly);
+            match timeout(self.limits.slow, frames.send(frame)).await {
+                Ok(Ok(())) => line.mark(&ids, Written::Whole),
+                Ok(Err(e)) => return debug!(node = %line.address, "connection broke: {e}"),
+                Err(_) => return warn!(node = %line.address, "the node takes nothing"),
+            }
+            line.idle_since.set(Instant::now());
+        }
+    }
+}
+
+impl Line {
+    fn is_idle(&self) -> bool {
+        self.out.borrow().is_empty() && self.queue.borrow().is_empty()
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        self.ring.notify_one();
+    }
+
+    fn mark(&self, ids: &[Bytes], written: Written) {
+        let mut out = self.out.borrow_mut();
+        for id in ids {
+            out.get_mut(id).into_iter().for_each(|out| out.written = written);
+        }
+    }
+}
--- /dev/null
+++ b/crates/broker/src/start.rs
@@ -0,0 +1,80 @@
+//! What the broker is told when it starts: the environment and the config file.
+
+use crate::limits::{Limits, Machine};
+use crate::roll::Members;
+use intake::Intake;
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use std::net::SocketAddr;
+
+/// All that one broker starts from.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub intake: Intake,
+    /// The nodes as this broker last had them.
+    pub known: Option<Members>,
+    pub limits: Limits,
+    /// Whether a category has a second step, which this protocol does not carry.
+    pub two_steps: Vec<bool>,
+}
+
+#[derive(Deserialize)]
+struct File<'a> {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: String,
+    limits: FileLimits,
+    known: Option<Members>,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+struct FileLimits {
+    memory_mb: f64,
+    sockets: usize,
+}
+
+impl Order {
+    /// Reads EDGE_* and the file that they name; an error is for whoever started the broker.
+    pub fn from_env() -> Result<Order, String> {
+        let var = |name: &str| std::env::var(name).ok();
+        let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
+        let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+        Order::read(&text, var).map_err(|e| format!("{path}: {e}"))
+    }
+
+    /// Reads a config file's text. What the environment says of name and addresses comes first.
+    pub fn read(text: &[u8], env: impl Fn(&str) -> Option<String>) -> Result<Order, String> {
+        let file: File = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+        let mut intake = intake::read(file.settings.get().as_bytes())?;
+        let address = |name: &str, told: Option<String>| -> Result<SocketAddr, String> {
+            let variable = format!("EDGE_{}", name.to_uppercase());
+            let text = env(&variable).or(told).ok_or(format!("`{name}` is missing"))?;
+            text.parse().map_err(|e| format!("`{name}` is `{text}`: {e}"))
+        };
+        let machine =
+            Machine { memory_mb: file.limits.memory_mb.max(0.0) as usize, sockets: file.limits.sockets };
+        let limits = Limits::new(machine, &intake)?;
+        // Discovery is asked here; what the settings call automatic, the agent's watch brings about.
+        intake.prescription.roll_on_request = true;
+        let categories = &mut intake.prescription.categories;
+        let two_steps = categories.iter().map(|category| category.second_parts > 0).collect();
+        categories.iter_mut().for_each(|category| category.second_parts = 0);
+        Ok(Order {
+            name: env("EDGE_NAME").or(file.name).ok_or("`name` is missing")?,
+            listen: address("listen", file.listen)?,
+            discovery: address("discovery", file.discovery)?,
+            seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("`seed`: {e}"))?,
+            intake,
+            known: file.known,
+            limits,
+            two_steps,
+        })
+    }
+}
--- a/crates/wirehost/src/settings.rs
+++ b/crates/intake/src/lib.rs
@@ -1,10 +1,38 @@
-//! The settings text, turned into the library's prescription. Decides nothing.
+//! The settings text, turned into the library's prescription and what a front needs beside it. Decides
+//! nothing.
 
 use barleydrum::{
     Caller, Category, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules, Tenths, ZoneNo,
 };
 use serde::Deserialize;
 
+/// What a settings text holds for one broker.
+#[derive(Clone, Debug, Default)]
+pub struct Intake {
+    pub prescription: Prescription,
+    pub names: Names,
+    pub lines: Lines,
+}
+
+/// Names in the order of their numbers. Decisions never see them: a front reads and writes them.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub categories: Vec<String>,
+    pub callers: Vec<String>,
+    pub zones: Vec<String>,
+}
+
+/// What holds for a connection to a node; none where the text is silent.
+#[derive(Clone, Debug, Default)]
+pub struct Lines {
+    /// A node closes a connection that was idle for so long.
+    pub idle: Option<Tenths>,
+    /// One that is not up by then never comes up.
+    pub connect: Option<Tenths>,
+    /// The parts that one carries at a time.
+    pub parts: Option<u32>,
+}
+
 /// Settings as they come on the wire; what is not read here is skipped.
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -12,6 +40,8 @@
     instances: u32,
     #[serde(default)]
     zone: u16,
+    #[serde(default)]
+    areas: Vec<String>,
     period_ms: f64,
     services: Vec<Service>,
     domain: Domain,
@@ -29,6 +59,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Service {
+    #[serde(default)]
+    name: String,
     on_time_ms: f64,
     #[serde(default)]
     aim_stretch: f64,
@@ -58,6 +90,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_rps: f64,
 }
@@ -75,6 +109,9 @@
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ms: f64,
+    conn_idle_ms: Option<f64>,
+    connect_timeout_ms: Option<f64>,
+    streams_per_conn: Option<u32>,
 }
 
 #[derive(Deserialize)]
@@ -103,8 +140,18 @@
 }
 
 /// Reads a settings text, or says which key is amiss.
-pub fn read(text: &[u8]) -> Result<Prescription, String> {
+pub fn read(text: &[u8]) -> Result<Intake, String> {
     let text: Text = serde_json::from_slice(text).map_err(|e| format!("settings: {e}"))?;
+    let names = Names {
+        categories: text.services.iter().map(|service| service.name.clone()).collect(),
+        callers: text.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        zones: text.areas.clone(),
+    };
+    let lines = Lines {
+        idle: text.limits.conn_idle_ms.map(Tenths::from_ms),
+        connect: text.limits.connect_timeout_ms.map(Tenths::from_ms),
+        parts: text.limits.streams_per_conn,
+    };
     let categories = text.services.iter().enumerate().map(|(at, service)| {
         let least = text.domain.min_share.get(at).ok_or("settings: `MinShare` is too short")?;
         let whole = text.domain.complete_from.get(at).ok_or("settings: `CompleteFrom` is too short")?;
@@ -127,7 +174,7 @@
         })
     });
     let rules = &text.rules;
-    Ok(Prescription {
+    let prescription = Prescription {
         brokers: text.instances,
         zone: ZoneNo(text.zone),
         period: Tenths::from_ms(text.period_ms),
@@ -162,5 +209,6 @@
         },
         roll_on_request: text.registry_mode == "subscribe",
         late_scrap_price: text.prices.late_fail,
-    })
+    };
+    Ok(Intake { prescription, names, lines })
 }
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,6 +1,5 @@
 //! Hosts the brokers of one process: hands each what it heard, collects what it does.
 
-use crate::settings;
 use crate::wire::{Batch, Event, Reply};
 use barleydrum::{Broker, Input, Roll, RollEntry, RollKind, Tenths};
 use std::collections::BTreeMap;
@@ -77,8 +76,8 @@
 }
 
 fn start(text: &[u8], seed: u64, now: Tenths) -> Seat {
-    match settings::read(text) {
-        Ok(prescription) => Seat::Sound(Box::new(Broker::start(prescription, seed, now))),
+    match intake::read(text) {
+        Ok(intake) => Seat::Sound(Box::new(Broker::start(intake.prescription, seed, now))),
         Err(why) => Seat::Broken(why),
     }
 }
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! Reads batches on standard input, answers each on standard output, until the input ends.
 
 mod host;
-mod settings;
 #[cfg(test)]
 mod tests;
 mod wire;
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -1,8 +1,8 @@
 //! The wire's frames, whole and broken.
 
 use crate::host::Host;
+use crate::serve;
 use crate::wire::{BadFrame, Event, HEADER, Reply, read_body, read_header};
-use crate::{serve, settings};
 use barleydrum::*;
 use rstest::rstest;
 
@@ -112,7 +112,7 @@
 #[case(&SETTINGS.replace("deduplicated", "doubtful"), "`Effect` is `doubtful`")]
 #[case(&SETTINGS.replace("\"MinShare\": [0.4]", "\"MinShare\": []"), "`MinShare` is too short")]
 fn says_which_setting_is_amiss(#[case] text: &str, #[case] why: &str) {
-    assert!(settings::read(text.as_bytes()).unwrap_err().contains(why));
+    assert!(intake::read(text.as_bytes()).unwrap_err().contains(why));
     let batch = read_body(Tenths(0), &body(&[&start(text)])).unwrap();
     let reply = Host::default().play(batch).unwrap().frame();
     assert_eq!(reply[8..11], bytes("59 0300"), "the broker says that it cannot go on");
@@ -120,7 +120,7 @@
 
 #[rstest]
 fn reads_the_settings() {
-    let read = settings::read(SETTINGS.as_bytes()).unwrap();
+    let read = intake::read(SETTINGS.as_bytes()).unwrap().prescription;
     assert_eq!((read.period, read.limits.most_open, read.roll_on_request), (Tenths(50), 111, false));
     let category = &read.categories[0];
     assert_eq!((category.effect, category.least_share), (EffectKind::Numbered, 0.4));
