Nothing lies in wait: unsent pushes are taken back; the broker's tests on loopback sockets

A push queued behind a connection that is not up yet could be written after its retrieval's end, its node's drain, the dedup window or the budget window that it was counted in. Unsent pushes are now taken back at each of these, and after the connect time at the latest; the module reckons with that way (send_lag, 0 on the simulator). 47 cases on loopback sockets, one scenario for the module.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -136,8 +136,8 @@
         if self.s.ready_heard * 2 >= self.s.ready {
             self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
         }
-        // Rule 6 in any window: taken is counted over one shorter by two turns, further over a longer.
-        let (since, slack) = (now - self.further.window, self.prescription.period.times(2.0));
+        // Rule 6 in any window: taken is counted over one shorter by the way to a node, further over a longer.
+        let (since, slack) = (now - self.further.window, self.leaves_by());
         self.s.forget(since + slack, since - slack);
         for input in inputs {
             self.hear(input);
@@ -521,8 +521,7 @@
         let (row, part) = (self.row(r), &r.parts[at]);
         let ran = part.pushes.iter().filter(|p| p.fate == Fate::MayHaveRun || copy && p.fate == Fate::Out);
         let first = ran.map(|p| p.sent).min();
-        // The window is measured as if the next push left two turns late.
-        let then = self.s.now + self.prescription.period.times(2.0);
+        let then = self.s.now + self.leaves_by();
         let pays = row.payoff / r.parts.len() as f64;
         let best = self.s.pays.values().map(|p| p[1]).fold(pays, f64::max).max(f64::MIN_POSITIVE);
         let further = f64::from(self.prescription.limits.most_pushes.max(1) - 1) * pays / best;
@@ -700,6 +699,12 @@
         self.s.agenda.insert((self.s.now + doubled, Due::FollowRoll));
     }
 
+    /// Guards against pushes that wait for a connection and reach their node in another window than their
+    /// turn's: two turns, and what the front may need to send one. Harm: a few further pushes less.
+    fn leaves_by(&self) -> Tenths {
+        self.prescription.period.times(2.0) + self.prescription.send_lag
+    }
+
     fn row(&self, r: &Retrieval) -> &CategoryRow {
         &self.rows[r.category.0 as usize]
     }
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -11,6 +11,8 @@
     pub zone: ZoneNo,
     /// The least time between two turns.
     pub period: Tenths,
+    /// The longest that a push may take from its turn to its node.
+    pub send_lag: Tenths,
     pub categories: Vec<Category>,
     pub callers: Vec<Caller>,
     /// A retrieval beyond its caller's share earns this part of its payoff.
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -50,6 +50,7 @@
     fn statement(&mut self, words: Words) {
         let p = &mut self.prescription;
         match words[0] {
+            "lag" => p.send_lag = Tenths::from_ms(words[1].parse().unwrap()),
             "brokers" => p.brokers = words[1].parse().unwrap(),
             "category" => {
                 self.names.push(words[1].to_owned());
--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -85,8 +85,16 @@
 /// Pushes that are out.
 #[derive(Default)]
 struct Pushes {
-    out: HashMap<PushId, (NodeId, Tenths, Tenths)>,
-    time_outs: BTreeSet<(Tenths, PushId)>,
+    out: HashMap<PushId, (NodeId, Tenths)>,
+    timers: BTreeSet<(Tenths, Timer, PushId)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// By then its first byte is written, or it is taken back.
+    Unsent,
+    /// Its time-out.
+    Over,
 }
 
 /// The ids of nodes and zones.
@@ -112,8 +120,6 @@
     ready: Cell<bool>,
     /// Rung when the module wants the roll followed.
     pub roll_wanted: Notify,
-    /// Rung when the last open retrieval has ended.
-    pub all_ended: Notify,
 }
 
 impl Desk {
@@ -141,7 +147,6 @@
             bell: Notify::new(),
             ready: Cell::default(),
             roll_wanted: Notify::new(),
-            all_ended: Notify::new(),
         })
     }
 
@@ -211,17 +216,19 @@
         Ok(Taken { desk: self.clone(), id, verdict })
     }
 
-    /// Strikes a retrieval from the book.
+    /// Strikes a retrieval from the book; what of it was not written yet is not sent any more.
     fn close(&self, id: RetrievalId) -> Option<(Open, Vec<(ShardNo, Bytes)>)> {
         let mut book = self.book.borrow_mut();
         let open = book.retrievals.remove(&id)?;
-        let parts: Vec<OpenPart> = open.parts.iter().filter_map(|part| book.parts.remove(part)).collect();
+        let mut parts = Vec::with_capacity(open.parts.len());
+        for part in &open.parts {
+            let Some(entry) = book.parts.remove(part) else { continue };
+            (0..entry.pushes).for_each(|no| _ = self.nodes.take_back((*part, PushNo(no)), PushEnd::NotSent));
+            parts.push(entry);
+        }
         let items: Vec<_> = parts.into_iter().filter_map(|p| Some((p.shard, p.value?))).collect();
         book.bytes -= open.bytes + items.iter().map(|(_, value)| value.len()).sum::<usize>();
         book.wire_ids.remove(&open.id);
-        if book.retrievals.is_empty() {
-            self.all_ended.notify_waiters();
-        }
         Some((open, items))
     }
 
@@ -239,7 +246,7 @@
             names.nodes.retain(|name, node| {
                 let stays = listed.contains(&name[..]);
                 if !stays {
-                    self.nodes.listens(*node, None);
+                    self.nodes.listens(*node, None, false);
                 }
                 stays
             });
@@ -251,7 +258,8 @@
             let next = names.last_node + 1;
             let node = *names.nodes.entry(member.id.clone()).or_insert(NodeId(next));
             names.last_node = names.last_node.max(node.0);
-            self.nodes.listens(node, (standing != Standing::Gone).then_some(member.host_port));
+            let address = (standing != Standing::Gone).then_some(member.host_port);
+            self.nodes.listens(node, address, standing == Standing::Ready);
             if standing == Standing::Gone {
                 names.nodes.remove(&member.id);
             }
@@ -298,17 +306,14 @@
 
     /// When the next wake-up or time-out is due.
     fn next_due(&self) -> Option<Instant> {
-        let time_out = self.pushes.borrow().time_outs.first().map(|(at, _)| *at);
-        self.wake_at.get().into_iter().chain(time_out).min().map(|at| self.instant(at))
+        let timer = self.pushes.borrow().timers.first().map(|(at, _, _)| *at);
+        self.wake_at.get().into_iter().chain(timer).min().map(|at| self.instant(at))
     }
 
     /// Takes over the ends of pushes, with the values that came.
     fn fetch_ended(&self) {
         for Ended { push: (part, push), end, value, at } in self.nodes.fetch_ended() {
-            let Some((node, sent, time_out)) = self.pushes.borrow_mut().out.remove(&(part, push)) else {
-                continue;
-            };
-            self.pushes.borrow_mut().time_outs.remove(&(time_out, (part, push)));
+            let Some((node, sent)) = self.pushes.borrow_mut().out.remove(&(part, push)) else { continue };
             let end = if self.keep_value(part, value) { end } else { PushEnd::Errored };
             let took = self.tenths(at) - sent;
             self.heard.borrow_mut().push(Input::Outcome(PushOutcome { part, push, node, end, took }));
@@ -331,13 +336,19 @@
         open.value.is_some()
     }
 
+    fn next_timer(&self, now: Tenths) -> Option<(Tenths, Timer, PushId)> {
+        let timers = &mut self.pushes.borrow_mut().timers;
+        timers.first().filter(|(at, _, _)| *at <= now)?;
+        timers.pop_first()
+    }
+
     fn turn(&self) {
         let now = self.tenths(Instant::now());
-        loop {
-            let first = self.pushes.borrow().time_outs.first().copied();
-            let Some((at, push)) = first.filter(|(at, _)| *at <= now) else { break };
-            self.pushes.borrow_mut().time_outs.remove(&(at, push));
-            self.nodes.give_up(push, PushEnd::TimedOut);
+        while let Some((_, timer, push)) = self.next_timer(now) {
+            match timer {
+                Timer::Unsent => _ = self.nodes.take_back(push, PushEnd::NoConnection),
+                Timer::Over => self.nodes.give_up(push, PushEnd::TimedOut),
+            }
         }
         self.fetch_ended();
         let mut heard = self.heard.take();
@@ -397,8 +408,9 @@
         let (retrieval, shard, wire_id) = (part.retrieval, part.shard.0, part.wire_id.clone());
         let filter = book.retrievals.get(&retrieval)?.filter.clone();
         let mut pushes = self.pushes.borrow_mut();
-        pushes.out.insert(push, (node, now, now + time_out));
-        pushes.time_outs.insert((now + time_out, push));
+        pushes.out.insert(push, (node, now));
+        pushes.timers.insert((now + self.limits.unsent, Timer::Unsent, push));
+        pushes.timers.insert((now + time_out, Timer::Over, push));
         let wait_ms = span(time_out).as_millis().max(1) as u64;
         Some(Sending { push, part: CalledPart { id: wire_id, shard, wait_ms, filter } })
     }
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -33,6 +33,8 @@
     pub call_parts: usize,
     pub line_parts: usize,
     pub connect: Duration,
+    /// A push of which nothing was written by then is taken back.
+    pub unsent: Tenths,
     /// A connection to a node is closed when it stood idle for so long.
     pub node_idle: Duration,
     /// A peer that neither takes nor sends what is due for so long is let go.
@@ -70,6 +72,7 @@
         let surplus_lines = for_peers / 16;
         let p = &intake.prescription;
         let line_parts = intake.lines.parts.unwrap_or(1).max(1) as usize;
+        let connect = intake.lines.connect.unwrap_or(Tenths::from_ms(1000.0));
         let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
         Ok(Limits {
             client_lines: for_peers / 2 - surplus_lines,
@@ -83,7 +86,8 @@
             weight_slack: 0.01,
             call_parts: (p.layout.per_call.max(1) as usize).min(line_parts),
             line_parts,
-            connect: intake.lines.connect.map_or(Duration::from_secs(1), span),
+            connect: span(connect),
+            unsent: connect + p.period,
             node_idle: idle.mul_f64(0.8),
             slow: Duration::from_secs(5),
             keep_alive: Duration::from_secs(600),
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -88,7 +88,10 @@
     }
 
     /// Where a node listens from now on; none: it is gone. Idle connections elsewhere are closed.
-    pub fn listens(&self, node: NodeId, address: Option<SocketAddr>) {
+    pub fn listens(&self, node: NodeId, address: Option<SocketAddr>, wants_work: bool) {
+        if !wants_work {
+            self.take_all_back(node);
+        }
         match address {
             Some(address) => _ = self.addresses.borrow_mut().insert(node, address),
             None => _ = self.addresses.borrow_mut().remove(&node),
@@ -134,20 +137,44 @@
     /// Gives a push up. One that was never written is known not to have run, whatever `end` says.
     pub fn give_up(&self, push: PushId, end: PushEnd) {
         let Some((line, id)) = self.pushes.borrow().get(&push).cloned() else { return };
-        let written = line.out.borrow_mut().remove(&id).map_or(Written::Not, |out| out.written);
+        let unsent = if end == PushEnd::TimedOut { PushEnd::NoConnection } else { end };
+        if self.take_back(push, unsent) {
+            return;
+        }
+        line.queue.borrow_mut().push_back(Queued::GiveUp(id.clone()));
+        line.out.borrow_mut().remove(&id);
         line.idle_since.set(Instant::now());
-        if written == Written::Not {
-            for queued in line.queue.borrow_mut().iter_mut() {
-                if let Queued::Call(parts) = queued {
-                    parts.retain(|part| part.id != id);
-                }
+        line.ring.notify_one();
+        self.end(push, end, None);
+    }
+
+    /// Takes a push back of which no byte was written; tells whether that could be done. Guards against
+    /// parts that lie in wait behind a connection that does not come up, or a peer that takes nothing,
+    /// and go out after their retrieval's end, their node's drain, or the window that they were counted in.
+    pub fn take_back(&self, push: PushId, end: PushEnd) -> bool {
+        let Some((line, id)) = self.pushes.borrow().get(&push).cloned() else { return false };
+        if line.out.borrow().get(&id).is_none_or(|out| out.written != Written::Not) {
+            return false;
+        }
+        line.out.borrow_mut().remove(&id);
+        for queued in line.queue.borrow_mut().iter_mut() {
+            if let Queued::Call(parts) = queued {
+                parts.retain(|part| part.id != id);
             }
-        } else {
-            line.queue.borrow_mut().push_back(Queued::GiveUp(id));
         }
         line.ring.notify_one();
-        let unsent = written == Written::Not && end == PushEnd::TimedOut;
-        self.end(push, if unsent { PushEnd::NoConnection } else { end }, None);
+        self.end(push, end, None);
+        true
+    }
+
+    /// Takes back all that was not written to a node that wants nothing new.
+    fn take_all_back(&self, node: NodeId) {
+        let pushes = self.pushes.borrow();
+        let mut waiting: Vec<PushId> =
+            pushes.iter().filter(|(_, (line, _))| line.node == node).map(|(push, _)| *push).collect();
+        drop(pushes);
+        waiting.sort();
+        waiting.into_iter().for_each(|push| _ = self.take_back(push, PushEnd::NoConnection));
     }
 
     /// Closes the idle connections to a node.
--- /dev/null
+++ b/crates/broker/tests/sockets/main.rs
@@ -0,0 +1,441 @@
+//! The broker on loopback sockets, among stand-ins.
+
+mod stand_ins;
+
+use broker::Order;
+use rstest::rstest;
+use serde_json::{Value, json};
+use stand_ins::*;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpSocket;
+
+const BOTH: &[(u32, f64)] = &[(3, 0.5), (9, 0.5)];
+const ONE: &[(u32, f64)] = &[(3, 1.0)];
+
+#[rstest]
+fn answers_with_what_the_nodes_gave() {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let mut client = stage.client().await;
+        let body = r#"{"slices":[{"slice":3,"mass":0.7,"micros":9000,"term":"00ff"},{"slice":9,"mass":0.3}],
+            "filter":"a\n\"ü\" \u00e9","more":[1]}"#;
+        client.write(&request("9b1f", "lookup", 9000, body)).await;
+        let (_, line, parts) = stage.call().await;
+        let told: Vec<(&str, u32, &str)> = parts.iter().map(|p| (&p.id[..], p.shard, &p.text[..])).collect();
+        assert_eq!(told, [("9b1f.3", 3, "a\n\"ü\" é"), ("9b1f.9", 9, "a\n\"ü\" é")]);
+        let wait: u64 = parts[0].list.strip_prefix("d=").unwrap().parse().unwrap();
+        assert!((1..9000).contains(&wait), "{wait}");
+        stage.nodes[0].end(line, "9b1f.9", 'S', "plain").await;
+        stage.nodes[0].end(line, "9b1f.3", 'S', "\"quoted\"\\ü\n").await;
+        let reply = client.reply().await.unwrap();
+        assert_eq!(reply.status, 200);
+        let items = json!([{"slice": 3, "body": "\"quoted\"\\ü\n"}, {"slice": 9, "body": "plain"}]);
+        let told: Value = serde_json::from_str(&reply.body).unwrap();
+        assert_eq!(told, json!({"entire": true, "items": items}));
+        // The connection serves on.
+        client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
+    });
+}
+
+/// Pushes of one turn to one node share calls, across retrievals; turns are the period apart.
+#[rstest]
+fn pushes_of_one_turn_share_calls() {
+    play(async {
+        let slow_turns = |c: &mut Value| c["settings"]["PeriodMs"] = json!(1500.0);
+        let mut stage = Stage::with(1, slow_turns, |_| ()).await;
+        pause(100).await;
+        let _first = stage.ask("a", "lookup", BOTH).await;
+        let _second = stage.ask("b", "lookup", &[(0, 0.3), (1, 0.3), (2, 0.4)]).await;
+        let (mut ids, mut sizes) = (Vec::new(), Vec::new());
+        while ids.len() < 5 {
+            let (_, _, parts) = stage.call().await;
+            sizes.push(parts.len());
+            ids.extend(parts.into_iter().map(|part| part.id));
+        }
+        ids.sort();
+        assert_eq!((ids.join(" "), sizes), ("a.3 a.9 b.0 b.1 b.2".to_owned(), vec![4, 1]));
+    });
+}
+
+/// A client that closes its connection has gone: the module hears it, and the nodes do.
+#[rstest]
+fn tells_the_nodes_when_the_client_has_left() {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let client = stage.ask("a", "lookup", ONE).await;
+        let (node, line, _) = stage.call().await;
+        drop(client);
+        assert_eq!(stage.next().await, (node, line, Heard::GiveUp("a.3".to_owned())));
+        assert_eq!(stage.broker.desk.open_retrievals(), 0);
+        // A value that comes all the same is nobody's; the connection serves on.
+        stage.nodes[node].end(line, "a.3", 'S', "late").await;
+        let mut other = stage.ask("b", "lookup", ONE).await;
+        assert_eq!(stage.call().await.1, line);
+        stage.nodes[node].end(line, "b.3", 'S', "in time").await;
+        assert!(other.reply().await.unwrap().body.contains("in time"));
+    });
+}
+
+#[rstest]
+#[case("POST /other HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 404)]
+#[case("GET /api HTTP/1.1\r\nHost: x\r\n\r\n", 405)]
+#[case("POST /_health HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 405)]
+#[case("no request at all\r\n\r\n", 400)]
+#[case(&request("a b", "lookup", 900, &body(ONE)), 400)]
+#[case(&request("", "lookup", 900, &body(ONE)), 400)]
+#[case(&request("a", "unheard-of", 900, &body(ONE)), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("X-Time-Left-Ms: 900", "X-Time-Left-Ms: soon"), 400)]
+#[case(&request("a", "lookup", 900, "{\"slices\":"), 400)]
+#[case(&request("a", "lookup", 900, &body(&[])), 400)]
+#[case(&request("a", "lookup", 900, &body(&[(3, 0.5), (3, 0.5)])), 400)]
+#[case(&request("a", "lookup", 900, &body(&[(16, 1.0)])), 400)]
+#[case(&request("a", "lookup", 900, &body(&[(3, 0.4), (4, 0.4)])), 400)]
+#[case(&request("a", "lookup", 900, &body(&[(3, 1.5), (4, -0.5)])), 400)]
+#[case(&request("a", "lookup", 900, &" ".repeat(64 * 1024 + 1)), 413)]
+fn says_what_is_wrong_with_a_request(#[case] text: &str, #[case] status: u16) {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let mut client = stage.client().await;
+        client.write(text).await;
+        assert_eq!(client.reply().await.unwrap().status, status);
+        assert!(stage.is_silent());
+        let mut other = stage.ask("a", "lookup", ONE).await;
+        let (node, line, _) = stage.call().await;
+        stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        assert_eq!(other.reply().await.unwrap().status, 200);
+    });
+}
+
+/// What an end tells: broken after the frame it may have run; turned away, or refused, it never did.
+#[rstest]
+#[case("report", "dropped", true, 200)]
+#[case("report", "error", true, 200)]
+#[case("report", "bad frame", true, 200)]
+#[case("report", "turned away", true, 200)]
+#[case("once", "dropped", false, 502)]
+#[case("once", "error", false, 502)]
+#[case("once", "bad frame", false, 502)]
+#[case("once", "turned away", true, 200)]
+fn pushes_again_as_the_end_allows(
+    #[case] category: &str,
+    #[case] end: &str,
+    #[case] again: bool,
+    #[case] status: u16,
+) {
+    play(async {
+        let mut stage = Stage::new(2).await;
+        let mut client = stage.ask("a", category, ONE).await;
+        let (first, line, _) = stage.call().await;
+        match end {
+            "dropped" => stage.nodes[first].close(line),
+            "error" => stage.nodes[first].end(line, "a.3", 'E', "").await,
+            "turned away" => stage.nodes[first].end(line, "a.3", 'B', "").await,
+            _ => stage.nodes[first].write(line, &u32::MAX.to_le_bytes()).await,
+        }
+        if again {
+            let (second, line, parts) = loop {
+                match stage.next().await {
+                    (node, line, Heard::Call(parts)) => break (node, line, parts),
+                    (_, _, Heard::Closed) => {}
+                    other => panic!("{other:?}"),
+                }
+            };
+            assert_ne!(first, second);
+            stage.nodes[second].end(line, &parts[0].id, 'S', "v").await;
+        }
+        assert_eq!(client.reply().await.unwrap().status, status);
+    });
+}
+
+/// A refused connection proves that nothing ran: even what may run at most once goes elsewhere.
+#[rstest]
+fn goes_elsewhere_when_a_node_refuses() {
+    play(async {
+        let refuses = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let mut stage =
+            Stage::with(2, |c| c["known"]["members"][0]["host_port"] = json!(refuses.to_string()), |_| ())
+                .await;
+        for id in ["a", "b", "c", "d"] {
+            let mut client = stage.ask(id, "once", ONE).await;
+            let (node, line, parts) = stage.call().await;
+            assert_eq!(node, 1);
+            stage.nodes[1].end(line, &parts[0].id, 'S', "v").await;
+            assert_eq!(client.reply().await.unwrap().status, 200);
+        }
+    });
+}
+
+/// Time runs from when the request began to come, and a part that times out is given up at its node.
+#[rstest]
+fn declines_in_the_clients_time_and_gives_parts_up() {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let mut client = stage.client().await;
+        let began = Instant::now();
+        let text = request("a", "lookup", 700, &body(ONE));
+        let (head, rest) = text.split_at(text.len() - 1);
+        client.write(head).await;
+        pause(300).await;
+        client.write(rest).await;
+        let (node, line, parts) = stage.call().await;
+        assert!(parts[0].list[2..].parse::<u64>().unwrap() <= 400, "{}", parts[0].list);
+        let reply = client.reply().await.unwrap();
+        assert!(began.elapsed() < Duration::from_millis(750), "{:?}", began.elapsed());
+        assert_eq!(reply.status, 503);
+        assert!(reply.head.contains("retry-after: 1.5000"), "{}", reply.head);
+        assert_eq!(stage.next().await, (node, line, Heard::GiveUp("a.3".to_owned())));
+    });
+}
+
+#[rstest]
+fn follows_the_roll() {
+    play(async {
+        let mut stage = Stage::new(2).await;
+        let list = |stage: &Stage, revision: u64, complete: bool, members: &[(usize, &str)]| {
+            let members: Vec<Value> =
+                members.iter().map(|(at, phase)| member(&stage.nodes, *at, phase)).collect();
+            json!({"revision": revision, "complete": complete, "members": members})
+        };
+        assert_eq!(stage.discovery.called().await, "/catalog/members");
+        stage.discovery.reply(list(&stage, 41, true, &[(0, "ready"), (1, "ready")]));
+        assert_eq!(stage.discovery.called().await, "/catalog/members?after=41&wait_ms=5000");
+        let answered = Instant::now();
+        stage.discovery.reply(list(&stage, 43, false, &[(0, "draining")]));
+        assert_eq!(stage.discovery.called().await, "/catalog/members?after=43&wait_ms=5000");
+        assert!(answered.elapsed() < Duration::from_millis(200));
+        // What can't be read leaves the old roll as it is, and all is asked for again.
+        stage.discovery.reply("{\"revision\":44,\"complete\":true,\"members\":[{\"id\":7}]}");
+        assert_eq!(stage.discovery.called().await, "/catalog/members");
+        for id in ["a", "b", "c", "d"] {
+            let mut client = stage.ask(id, "lookup", ONE).await;
+            let (node, line, parts) = stage.call().await;
+            assert_eq!(node, 1, "the other drains");
+            stage.nodes[1].end(line, &parts[0].id, 'S', "v").await;
+            assert_eq!(client.reply().await.unwrap().status, 200);
+        }
+    });
+}
+
+#[rstest]
+fn is_ready_once_it_knows_a_node() {
+    play(async {
+        let mut stage = Stage::with(1, |c| c["known"]["members"] = json!([]), |_| ()).await;
+        let mut client = stage.client().await;
+        for (status, members) in [(503, vec![member(&stage.nodes, 0, "ready")]), (200, vec![])] {
+            client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            assert_eq!(client.reply().await.unwrap().status, status);
+            stage.discovery.called().await;
+            stage.discovery.reply(json!({"revision": 2, "complete": true, "members": members}));
+            stage.discovery.called().await;
+        }
+    });
+}
+
+/// After the word to leave, new connections are served for a moment, and all that was taken is answered.
+#[rstest]
+fn answers_all_before_it_leaves() {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let mut idle = stage.client().await;
+        let mut before = stage.ask("a", "lookup", ONE).await;
+        let (_, line, _) = stage.call().await;
+        let listens = stage.broker.listens;
+        let Stage { broker, nodes, mut heard, .. } = stage;
+        let left = actix_rt::spawn(broker.leave());
+        pause(50).await;
+        let mut during = Client::to(listens).await;
+        during.write(&request("b", "lookup", 10_000, &body(ONE))).await;
+        assert!(matches!(soon(heard.recv()).await, Some((0, _, Heard::Call(_)))));
+        assert!(idle.reply().await.is_none(), "idle connections are closed");
+        assert!(!left.is_finished());
+        nodes[0].end(line, "a.3", 'S', "one").await;
+        nodes[0].end(line, "b.3", 'S', "two").await;
+        for (client, value) in [(&mut before, "one"), (&mut during, "two")] {
+            let reply = client.reply().await.unwrap();
+            assert!(reply.body.contains(value) && reply.head.contains("connection: close"), "{reply:?}");
+        }
+        soon(left).await.unwrap();
+        assert!(tokio::net::TcpStream::connect(listens).await.is_err());
+    });
+}
+
+/// Retrievals and parts up to `MaxOpen`, connections up to the descriptors: beyond, it declines.
+#[rstest]
+fn declines_beyond_its_bounds() {
+    play(async {
+        let few = |c: &mut Value| {
+            c["limits"]["sockets"] = json!(64);
+            c["settings"]["Limits"]["MaxOpen"] = json!(5);
+        };
+        let mut stage = Stage::with(1, few, |_| ()).await;
+        let _first = stage.ask("a", "lookup", &[(0, 0.25), (1, 0.25), (2, 0.25), (3, 0.25)]).await;
+        stage.call().await;
+        assert_eq!(stage.ask("c", "lookup", ONE).await.reply().await.unwrap().status, 503);
+        // 14 connections, and two beyond that; those that are idle make room.
+        let mut held = Vec::new();
+        for at in 0..30 {
+            let mut client = stage.client().await;
+            client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            assert_eq!(client.reply().await.unwrap().status, 200, "client {at}");
+            held.push(client);
+        }
+        assert!(held[0].reply().await.is_none());
+        let mut stuck = Vec::new();
+        for _ in 0..13 {
+            let mut client = stage.client().await;
+            client.write("POST /api HT").await;
+            stuck.push(client);
+        }
+        soon(async {
+            let mut closes = false;
+            while !closes {
+                let reply = stage.ask("d", "lookup", ONE).await.reply().await.unwrap();
+                assert_eq!(reply.status, 503);
+                closes = reply.head.contains("connection: close");
+            }
+        })
+        .await;
+        assert!(stage.is_silent());
+    });
+}
+
+/// A client that is slow with its head or its body is let go, one that is idle is not.
+#[rstest]
+fn lets_slow_clients_go() {
+    play(async {
+        let quick = |order: &mut Order| {
+            order.limits.slow = Duration::from_millis(200);
+            order.limits.sweep = Duration::from_millis(50);
+        };
+        let stage = Stage::with(1, |_| (), quick).await;
+        let (mut idle, mut head, mut body) =
+            (stage.client().await, stage.client().await, stage.client().await);
+        head.write("POST /api HTTP/1.1\r\n").await;
+        body.write("POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{").await;
+        assert!(head.reply().await.is_none());
+        assert_eq!(body.reply().await.unwrap().status, 408);
+        idle.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert_eq!(idle.reply().await.unwrap().status, 200);
+    });
+}
+
+/// An idle connection goes before the node reaps it, so no part is written to one that is gone.
+#[rstest]
+fn closes_idle_connections_to_nodes() {
+    play(async {
+        let short = |c: &mut Value| c["settings"]["Limits"]["ConnIdleMs"] = json!(400.0);
+        let mut stage = Stage::with(1, short, |_| ()).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let (_, line, _) = stage.call().await;
+        pause(500).await; // out, and so not idle
+        stage.nodes[0].end(line, "a.3", 'S', "v").await;
+        let ended = Instant::now();
+        assert_eq!(client.reply().await.unwrap().status, 200);
+        assert_eq!(stage.next().await, (0, line, Heard::Closed));
+        assert!(ended.elapsed() > Duration::from_millis(200));
+    });
+}
+
+/// More parts than a connection carries go on another; where descriptors end, they wait on one that is open.
+#[rstest]
+#[case(1024, 3)]
+#[case(66, 3)]
+fn parts_beyond_a_connections_number_go_on_another(#[case] sockets: usize, #[case] lines: usize) {
+    play(async {
+        let narrow = |c: &mut Value| {
+            c["limits"]["sockets"] = json!(sockets);
+            c["settings"]["Limits"]["StreamsPerConn"] = json!(2);
+        };
+        let mut stage = Stage::with(1, narrow, |_| ()).await;
+        let slices: Vec<(u32, f64)> = (0..6).map(|shard| (shard, 1.0 / 6.0)).collect();
+        let mut client = stage.ask("a", "report", &slices).await;
+        let (mut used, mut told) = (std::collections::BTreeSet::new(), 0);
+        while told < 6 {
+            let (_, line, parts) = stage.call().await;
+            assert!(parts.len() <= 2);
+            used.insert(line);
+            told += parts.len();
+            for part in parts {
+                stage.nodes[0].end(line, &part.id, 'S', "v").await;
+            }
+        }
+        assert!(used.len() <= lines, "{used:?}");
+        let reply = client.reply().await.unwrap();
+        assert!(reply.status == 200 && reply.body.contains("\"entire\":true"), "{reply:?}");
+    });
+}
+
+/// What lies unsent when its retrieval ends is never sent, though its connection comes up at last.
+#[rstest]
+fn sends_nothing_late() {
+    play(async {
+        let full = TcpSocket::new_v4().unwrap();
+        full.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let full = full.listen(0).unwrap();
+        let address = full.local_addr().unwrap();
+        let short = Duration::from_millis(100);
+        let fill = || std::net::TcpStream::connect_timeout(&address, short);
+        let fillers: Vec<_> = std::iter::from_fn(|| fill().ok()).collect();
+        let unheard = |c: &mut Value| {
+            c["known"]["members"][0]["host_port"] = json!(address.to_string());
+            c["settings"]["Limits"]["ConnectTimeoutMs"] = json!(20_000.0);
+            c["settings"]["Limits"]["ConnIdleMs"] = json!(100.0);
+        };
+        let stage = Stage::with(1, unheard, |_| ()).await;
+        let mut client = stage.client().await;
+        client.write(&request("a", "once", 300, &body(ONE))).await;
+        // Nothing was written, so asking again is harmless.
+        assert_eq!(client.reply().await.unwrap().status, 503);
+        for _ in fillers {
+            soon(full.accept()).await.unwrap();
+        }
+        let (mut line, _) = soon(full.accept()).await.unwrap();
+        let mut came = Vec::new();
+        soon(line.read_to_end(&mut came)).await.unwrap();
+        assert_eq!(came, b"");
+    });
+}
+
+/// A protocol without a second step never calls the answer of a category that has one whole.
+#[rstest]
+fn two_steps_are_never_whole() {
+    play(async {
+        let mut stage =
+            Stage::with(1, |c| c["settings"]["Domain"]["FetchParts"] = json!([0, 2, 0]), |_| ()).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let (node, line, _) = stage.call().await;
+        stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        let reply = client.reply().await.unwrap();
+        assert!(reply.status == 200 && reply.body.contains("\"entire\":false"), "{reply:?}");
+        pause(50).await;
+        assert!(stage.is_silent());
+    });
+}
+
+#[rstest]
+#[case("/seed", json!("no number"), "`seed`")]
+#[case("/listen", json!("everywhere"), "`listen` is `everywhere`")]
+#[case("/discovery", Value::Null, "`discovery` is missing")]
+#[case("/limits/sockets", json!(40), "40 sockets are too few")]
+#[case("/limits/memory_mb", json!(1), "1 MB of memory")]
+#[case("/settings/Domain", json!({}), "missing field `Cells`")]
+#[case("/settings/Services/0/Effect", json!("none"), "`Effect` is `none`")]
+#[case("/known/members/0/phase", json!("lost"), "unknown variant `lost`")]
+fn tells_what_a_config_lacks(#[case] place: &str, #[case] value: Value, #[case] why: &str) {
+    play(async {
+        let stage = Stage::new(1).await;
+        let mut text = config(&stage.nodes, "127.0.0.1:1");
+        *text.pointer_mut(place).unwrap() = value;
+        let told = Order::read(text.to_string().as_bytes(), |_| None).unwrap_err();
+        assert!(told.contains(why), "{told}");
+    });
+}
+
+#[rstest]
+fn the_environment_comes_first() {
+    let env = |name: &str| (name == "EDGE_LISTEN").then(|| "127.0.0.7:99".to_owned());
+    let order = Order::read(config(&[], "127.0.0.1:1").to_string().as_bytes(), env).unwrap();
+    assert_eq!((order.listen.to_string(), &order.name[..]), ("127.0.0.7:99".to_owned(), "n1"));
+}
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -178,6 +178,7 @@
         brokers: text.instances,
         zone: ZoneNo(text.zone),
         period: Tenths::from_ms(text.period_ms),
+        send_lag: Tenths::ZERO,
         categories: categories.collect::<Result<_, String>>()?,
         callers: text.tenants.iter().map(|t| Caller { quota_per_s: t.quota_rps }).collect(),
         over_share_payoff: text.over_share_worth,
