--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -232,6 +232,15 @@
         Some((open, items))
     }
 
+    /// Counts bytes that are held before their retrieval is taken; none: there is no room for them.
+    pub fn hold(self: &Rc<Self>, bytes: usize) -> Option<Held> {
+        let mut book = self.book.borrow_mut();
+        (book.bytes + bytes <= self.limits.held).then(|| {
+            book.bytes += bytes;
+            Held { desk: self.clone(), bytes }
+        })
+    }
+
     // ---- what discovery calls
 
     pub fn roll_failed(&self) {
@@ -356,6 +365,9 @@
             self.wake_at.set(None);
             heard.push(Input::Woken);
         }
+        if heard.is_empty() {
+            return;
+        }
         for input in &mut heard {
             if let Input::Retrieval(new) = input {
                 // It runs from when the client sent it, not from this turn.
@@ -450,6 +462,18 @@
     }
 }
 
+/// Bytes that are counted for as long as this lives.
+pub struct Held {
+    desk: Rc<Desk>,
+    bytes: usize,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.desk.book.borrow_mut().bytes -= self.bytes;
+    }
+}
+
 /// A retrieval that was taken and waits for its verdict.
 pub struct Taken {
     desk: Rc<Desk>,
--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -1,6 +1,7 @@
 //! The HTTP server that clients reach: accepts, routes, and keeps its connections within bounds.
 
 use crate::retrieval::{self, Counter, bad, decline, plain};
+use actix_http::error::DispatchError;
 use actix_http::header::{ALLOW, HeaderValue};
 use actix_http::{ConnectionType, HttpService, KeepAlive, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
@@ -9,6 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -98,14 +100,28 @@
     /// Accepts until told to close, and then takes what still stands in line.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
         let limits = &self.counter.limits;
+        let front = self.clone();
+        let factory = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(limits.keep_alive))
+            .client_request_timeout(Duration::ZERO) // slow ones are seen to by the sweep
+            .client_disconnect_timeout(limits.slow)
+            // A client that closes its side has gone away, and its retrieval is dropped.
+            .h1_allow_half_closed(false)
+            .on_connect_ext(|io: &Watched, data| _ = data.insert(io.line.clone()))
+            .h1(fn_service(move |request: Request| {
+                let front = front.clone();
+                async move { Ok::<_, Infallible>(front.serve(request).await) }
+            }));
+        let Ok(service) = factory.new_service(()).await else { return };
+        let service = Rc::new(service);
+        let most = limits.client_lines + limits.surplus_lines;
         let mut sweep = interval(limits.sweep);
         loop {
-            let most = limits.client_lines + limits.surplus_lines;
             let room = self.lines.borrow().len() < most;
             tokio::select! {
                 biased;
                 accepted = listener.accept(), if room => match accepted {
-                    Ok((stream, _)) => self.clone().welcome(stream),
+                    Ok((stream, _)) => self.clone().welcome(stream, service.clone()),
                     Err(e) => {
                         warn!("a connection could not be accepted: {e}");
                         sleep(limits.sweep / 10).await;
@@ -116,9 +132,18 @@
                 _ = sweep.tick() => self.let_slow_go(),
             }
         }
+        // Guards against connections that were made and are not known of yet: closing would reset them.
+        let Ok(listener) = listener.into_std() else { return };
+        while self.lines.borrow().len() < most {
+            let Ok(stream) = listener.accept().and_then(|(stream, _)| into_async(stream)) else { break };
+            self.clone().welcome(stream, service.clone());
+        }
     }
 
-    fn welcome(self: Rc<Self>, stream: TcpStream) {
+    fn welcome<S>(self: Rc<Self>, stream: TcpStream, service: Rc<S>)
+    where
+        S: Service<(Watched, Option<SocketAddr>), Response = (), Error = DispatchError> + 'static,
+    {
         if let Err(e) = stream.set_nodelay(true) {
             debug!("no-delay: {e}");
         }
@@ -135,8 +160,11 @@
         });
         self.lines.borrow_mut().push(line.clone());
         actix_rt::spawn(async move {
+            let watched = Watched { stream, line: line.clone() };
             tokio::select! {
-                () = self.talk(stream, line.clone()) => {}
+                ended = service.call((watched, None)) => if let Err(e) = ended {
+                    debug!("a client's connection ended: {e}");
+                },
                 () = line.go.notified() => {}
             }
             self.lines.borrow_mut().retain(|other| !Rc::ptr_eq(other, &line));
@@ -144,30 +172,13 @@
         });
     }
 
-    /// Serves one connection to its end.
-    async fn talk(self: &Rc<Self>, stream: TcpStream, line: Rc<Line>) {
-        let limits = &self.counter.limits;
-        let (front, of) = (self.clone(), line.clone());
-        let factory = HttpService::build()
-            .keep_alive(KeepAlive::Timeout(limits.keep_alive))
-            .client_request_timeout(Duration::ZERO) // slow ones are seen to by the sweep
-            .client_disconnect_timeout(limits.slow)
-            // A client that closes its side has gone away, and its retrieval is dropped.
-            .h1_allow_half_closed(false)
-            .h1(fn_service(move |request: Request| {
-                let (front, line) = (front.clone(), of.clone());
-                async move { Ok::<_, Infallible>(front.serve(request, &line).await) }
-            }));
-        let Ok(service) = factory.new_service(()).await else { return };
-        if let Err(e) = service.call((Watched { stream, line }, None)).await {
-            debug!("a client's connection ended: {e}");
-        }
-    }
-
-    async fn serve(&self, request: Request, line: &Line) -> Response<Bytes> {
+    async fn serve(&self, request: Request) -> Response<Bytes> {
+        let Some(line) = request.conn_data::<Rc<Line>>().cloned() else {
+            return plain(StatusCode::INTERNAL_SERVER_ERROR, "a connection that is not known\n");
+        };
         let arrived = line.begun.take().unwrap_or_else(Instant::now);
-        let busy = Busy::new(line);
-        let mut response = self.route(request, line, arrived).await;
+        let busy = Busy::new(&line);
+        let mut response = self.route(request, &line, arrived).await;
         if line.surplus || self.closing.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
@@ -238,6 +249,11 @@
     }
 }
 
+fn into_async(stream: std::net::TcpStream) -> io::Result<TcpStream> {
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
 /// Marks a connection as busy for as long as it lives.
 struct Busy<'a>(&'a Line);
 
--- a/crates/broker/src/leave.rs
+++ b/crates/broker/src/leave.rs
@@ -2,14 +2,13 @@
 
 use crate::Running;
 use std::io;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::sleep;
 use tracing::info;
 
-/// Waits for the word to leave.
-pub async fn told() -> io::Result<()> {
-    signal(SignalKind::terminate())?.recv().await;
-    Ok(())
+/// The word to leave, listened for from now on.
+pub fn word() -> io::Result<Signal> {
+    signal(SignalKind::terminate())
 }
 
 impl Running {
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -22,7 +22,7 @@
 pub mod roll;
 mod start;
 
-pub use leave::told;
+pub use leave::word;
 pub use start::Order;
 
 use barleydrum::RollKind;
@@ -74,8 +74,9 @@
     let served = Order::from_env().and_then(|order| {
         let runtime = actix_rt::Runtime::new().map_err(|e| e.to_string())?;
         runtime.block_on(async {
+            let mut leave = word().map_err(|e| e.to_string())?;
             let running = start(order).await.map_err(|e| e.to_string())?;
-            told().await.map_err(|e| e.to_string())?;
+            leave.recv().await;
             running.leave().await;
             Ok(())
         })
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -57,6 +57,8 @@
 /// Files, pipes, the listener, discovery: what needs a descriptor beside peers.
 const OWN: usize = 32;
 const KIB: usize = 1024;
+/// What the buffers of one connection may come to.
+const BUFFERS: usize = 128 * KIB;
 
 impl Limits {
     /// An error says what the machine has too little of.
@@ -69,17 +71,20 @@
         if memory_mb < OWN {
             return Err(format!("limits: {memory_mb} MB of memory are too little, {OWN} are needed"));
         }
-        let surplus_lines = for_peers / 16;
+        // Three quarters of the memory: what is held, and the buffers of clients and of nodes.
+        let quarter = memory_mb * KIB * KIB / 4;
+        let lines = (for_peers / 2).min(quarter / BUFFERS);
+        let surplus_lines = lines / 8;
         let p = &intake.prescription;
         let line_parts = intake.lines.parts.unwrap_or(1).max(1) as usize;
         let connect = intake.lines.connect.unwrap_or(Tenths::from_ms(1000.0));
         let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
         Ok(Limits {
-            client_lines: for_peers / 2 - surplus_lines,
+            client_lines: lines - surplus_lines,
             surplus_lines,
-            node_lines: for_peers / 2,
+            node_lines: lines,
             most_open: p.limits.most_open as usize,
-            held: memory_mb * KIB * KIB / 4,
+            held: quarter,
             body: 64 * KIB,
             frame: 64 * KIB,
             id: 128,
--- a/crates/broker/src/retrieval.rs
+++ b/crates/broker/src/retrieval.rs
@@ -58,6 +58,7 @@
 /// Serves one retrieval. Dropped on the way, because its client has gone, it tells the module so.
 pub async fn serve(counter: &Counter, mut request: Request, arrived: Instant) -> Response<Bytes> {
     let Counter { desk, limits, .. } = counter;
+    let Some(held) = desk.hold(limits.body) else { return decline(Tenths::ZERO) };
     let body = match timeout(limits.slow, read_body(&mut request, limits.body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => return bad(status, "a body that is too long or breaks off"),
@@ -67,6 +68,7 @@
         Ok(question) => question,
         Err(why) => return bad(StatusCode::BAD_REQUEST, why),
     };
+    drop((held, body));
     let verdict = match desk.take(question) {
         Ok(taken) => taken.verdict().await,
         Err(NotTaken::Full) => Verdict::Decline { stay_away: Tenths::ZERO },
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -223,13 +223,15 @@
     play(async {
         let mut stage = Stage::with(1, |c| c["known"]["members"] = json!([]), |_| ()).await;
         let mut client = stage.client().await;
-        for (status, members) in [(503, vec![member(&stage.nodes, 0, "ready")]), (200, vec![])] {
-            client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
-            assert_eq!(client.reply().await.unwrap().status, status);
-            stage.discovery.called().await;
-            stage.discovery.reply(json!({"revision": 2, "complete": true, "members": members}));
-            stage.discovery.called().await;
-        }
+        let health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+        client.write(health).await;
+        assert_eq!(client.reply().await.unwrap().status, 503);
+        stage.discovery.called().await;
+        let members = [member(&stage.nodes, 0, "ready")];
+        stage.discovery.reply(json!({"revision": 2, "complete": true, "members": members}));
+        stage.discovery.called().await;
+        client.write(health).await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
     });
 }
 
