A part whose retrieval ends in the same turn stays unsent; our words in the broker's types

Pushes leave at the end of a turn, when they have met in calls. They are now held against the book first. Found by reading, shown by a test at the desk that failed before.

--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -3,7 +3,7 @@
 use crate::frame::CalledPart;
 use crate::limits::{Limits, span};
 use crate::nodes::{Ended, Nodes, PushId, Sending};
-use crate::roll::Members;
+use crate::roll::Listing;
 use barleydrum::{
     Broker, CallerNo, CategoryNo, CellNo, Effect, GroupNo, Input, NewPart, NewRetrieval, NodeId, PartId,
     Prescription, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo, Standing,
@@ -28,7 +28,10 @@
     pub until: Instant,
     pub work: Tenths,
     pub parts: Vec<QuestionPart>,
-    pub filter: Bytes,
+    /// What every part carries.
+    pub text: Bytes,
+    /// The bytes that it keeps in memory: a text that is part of a longer body keeps all of that.
+    pub holds: usize,
 }
 
 pub struct QuestionPart {
@@ -58,7 +61,7 @@
     category: CategoryNo,
     until: Tenths,
     parts: Vec<PartId>,
-    filter: Bytes,
+    text: Bytes,
     bytes: usize,
     tell: oneshot::Sender<Verdict>,
 }
@@ -177,7 +180,7 @@
     /// Takes a retrieval, unless a bound is reached. Dropping what comes back tells that the caller left.
     pub fn take(self: &Rc<Self>, question: Question) -> Result<Taken, NotTaken> {
         let mut book = self.book.borrow_mut();
-        let bytes = question.id.len() * (question.parts.len() + 1) + question.filter.len();
+        let bytes = question.id.len() * (question.parts.len() + 1) + question.holds;
         let held = book.retrievals.len() + book.parts.len();
         if held + question.parts.len() + 1 > self.limits.most_open || book.bytes + bytes > self.limits.held {
             return Err(NotTaken::Full);
@@ -209,8 +212,8 @@
             book.parts.insert(*part, OpenPart { retrieval: id, shard, wire_id, pushes: 0, value: None });
         }
         let (tell, verdict) = oneshot::channel();
-        let Question { id: wire_id, category, filter, .. } = question;
-        let open = Open { id: wire_id, category, until, parts, filter, bytes, tell };
+        let Question { id: wire_id, category, text, .. } = question;
+        let open = Open { id: wire_id, category, until, parts, text, bytes, tell };
         book.retrievals.insert(id, open);
         self.bell.notify_one();
         Ok(Taken { desk: self.clone(), id, verdict })
@@ -248,10 +251,10 @@
     }
 
     /// Puts a roll into the module's ids.
-    pub fn hear_roll(&self, kind: RollKind, members: Members) {
+    pub fn hear_roll(&self, kind: RollKind, listing: Listing) {
         let mut names = self.names.borrow_mut();
         if kind != RollKind::Changes {
-            let listed: HashSet<&str> = members.members.iter().map(|member| &member.id[..]).collect();
+            let listed: HashSet<&str> = listing.nodes.iter().map(|node| &node.name[..]).collect();
             names.nodes.retain(|name, node| {
                 let stays = listed.contains(&name[..]);
                 if !stays {
@@ -260,29 +263,29 @@
                 stays
             });
         }
-        let mut entries = Vec::with_capacity(members.members.len());
-        for member in members.members {
-            let standing = Standing::from(member.phase);
+        let mut entries = Vec::with_capacity(listing.nodes.len());
+        for told in listing.nodes {
+            let standing = Standing::from(told.standing);
             self.ready.set(self.ready.get() || standing == Standing::Ready);
             let next = names.last_node + 1;
-            let node = *names.nodes.entry(member.id.clone()).or_insert(NodeId(next));
+            let node = *names.nodes.entry(told.name.clone()).or_insert(NodeId(next));
             names.last_node = names.last_node.max(node.0);
-            let address = (standing != Standing::Gone).then_some(member.host_port);
+            let address = (standing != Standing::Gone).then_some(told.address);
             self.nodes.listens(node, address, standing == Standing::Ready);
             if standing == Standing::Gone {
-                names.nodes.remove(&member.id);
+                names.nodes.remove(&told.name);
             }
-            let known = names.zones.iter().position(|zone| *zone == member.locality);
+            let known = names.zones.iter().position(|zone| *zone == told.zone);
             let zone = known.unwrap_or_else(|| {
-                names.zones.push(member.locality);
+                names.zones.push(told.zone);
                 names.zones.len() - 1
             });
             entries.push(RollEntry {
                 node,
                 zone: ZoneNo(zone as u16),
-                cell: CellNo(member.cell),
+                cell: CellNo(told.cell),
                 standing,
-                started: (member.up_since_ms > 0.0).then(|| Tenths::from_ms(member.up_since_ms)),
+                started: (told.started_ms > 0.0).then(|| Tenths::from_ms(told.started_ms)),
             });
         }
         self.hear(Input::Roll(Roll { kind, entries: entries.into() }));
@@ -376,7 +379,13 @@
             }
         }
         let effects = self.broker.borrow_mut().turn(now, &heard);
+        self.carry_out(now, effects);
+    }
+
+    /// Carries out what the module said in one turn; pushes leave at its end, when they have met in calls.
+    fn carry_out(&self, now: Tenths, effects: Vec<Effect>) {
         let mut calls: BTreeMap<NodeId, Vec<Sending>> = BTreeMap::new();
+        let mut withdrawn: Vec<PushId> = Vec::new();
         for effect in effects {
             match effect {
                 Effect::Push { part, node, time_out } => {
@@ -384,7 +393,10 @@
                         calls.entry(node).or_default().push(sending);
                     }
                 }
-                Effect::Withdraw { part, push } => self.nodes.give_up((part, push), PushEnd::Withdrawn),
+                Effect::Withdraw { part, push } => {
+                    withdrawn.push((part, push));
+                    self.nodes.give_up((part, push), PushEnd::Withdrawn);
+                }
                 Effect::Answer { retrieval, whole } => self.answer(retrieval, whole),
                 Effect::Decline { retrieval, stay_away } => {
                     self.tell(retrieval, |_| Verdict::Decline { stay_away });
@@ -399,7 +411,16 @@
                 Effect::Say(line) => info!("{line}"),
             }
         }
-        for (node, sendings) in calls {
+        for (node, mut sendings) in calls {
+            // Guards against a part that is sent after its retrieval's end, which the same turn brought.
+            sendings.retain(|sending| {
+                let stays = self.book.borrow().parts.contains_key(&sending.push.0);
+                let stays = stays && !withdrawn.contains(&sending.push);
+                if !stays {
+                    self.never_sent(node, sending.push);
+                }
+                stays
+            });
             for call in self.split_calls(sendings) {
                 self.nodes.send(node, call);
             }
@@ -410,21 +431,25 @@
     fn push(&self, now: Tenths, id: PartId, node: NodeId, time_out: Tenths) -> Option<Sending> {
         let mut book = self.book.borrow_mut();
         let Some(part) = book.parts.get_mut(&id) else {
-            let push =
-                PushOutcome { part: id, push: PushNo(0), node, end: PushEnd::NotSent, took: Tenths::ZERO };
-            self.hear(Input::Outcome(push));
+            self.never_sent(node, (id, PushNo(0)));
             return None;
         };
         let push = (id, PushNo(part.pushes));
         part.pushes += 1;
         let (retrieval, shard, wire_id) = (part.retrieval, part.shard.0, part.wire_id.clone());
-        let filter = book.retrievals.get(&retrieval)?.filter.clone();
+        let text = book.retrievals.get(&retrieval)?.text.clone();
         let mut pushes = self.pushes.borrow_mut();
         pushes.out.insert(push, (node, now));
         pushes.timers.insert((now + self.limits.unsent, Timer::Unsent, push));
         pushes.timers.insert((now + time_out, Timer::Over, push));
         let wait_ms = span(time_out).as_millis().max(1) as u64;
-        Some(Sending { push, part: CalledPart { id: wire_id, shard, wait_ms, filter } })
+        Some(Sending { push, part: CalledPart { id: wire_id, shard, wait_ms, text } })
+    }
+
+    fn never_sent(&self, node: NodeId, (part, push): PushId) {
+        self.pushes.borrow_mut().out.remove(&(part, push));
+        let (end, took) = (PushEnd::NotSent, Tenths::ZERO);
+        self.hear(Input::Outcome(PushOutcome { part, push, node, end, took }));
     }
 
     /// A turn's pushes to one node, in calls of no more parts and bytes than a call may have.
@@ -432,7 +457,7 @@
         let mut calls: Vec<Vec<Sending>> = Vec::new();
         let mut bytes = 0;
         for sending in sendings {
-            let more = sending.part.filter.len() + 2 * sending.part.id.len();
+            let more = sending.part.text.len() + 2 * sending.part.id.len();
             match calls.last_mut() {
                 Some(call) if call.len() < self.limits.call_parts && bytes + more <= self.limits.frame => {
                     bytes += more;
@@ -496,3 +521,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::limits::Machine;
+    use intake::Intake;
+    use rstest::rstest;
+
+    /// A turn may push a part and end its retrieval: then the part stays unsent, and is told to.
+    #[rstest]
+    #[case(|retrieval, _| Effect::Scrap { retrieval })]
+    #[case(|retrieval, _| Effect::Answer { retrieval, whole: false })]
+    #[case(|_, part| Effect::Withdraw { part, push: PushNo(0) })]
+    fn what_ends_in_its_turn_is_not_sent(#[case] end: fn(RetrievalId, PartId) -> Effect) {
+        actix_rt::Runtime::new().unwrap().block_on(async {
+            let mut intake = Intake::default();
+            intake.prescription.limits.most_open = 10;
+            let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
+            let desk = Desk::new(intake.prescription, Vec::new(), Vec::new(), 1, Rc::new(limits));
+            let address = "127.0.0.1:9".parse().unwrap();
+            desk.nodes.listens(NodeId(1), Some(address), true);
+            let parts = vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }];
+            let (id, text) = (Bytes::from_static(b"a"), Bytes::new());
+            let (category, caller, until) = (CategoryNo(0), CallerNo(0), Instant::now());
+            let work = Tenths::ZERO;
+            let question = Question { id, category, caller, until, work, parts, text, holds: 0 };
+            let taken = desk.take(question).unwrap();
+            let part = *desk.book.borrow().parts.keys().next().unwrap();
+            desk.heard.take();
+            let push = Effect::Push { part, node: NodeId(1), time_out: Tenths(1000) };
+            desk.carry_out(Tenths(0), vec![push, end(taken.id, part)]);
+            let heard = desk.heard.take();
+            assert!(matches!(&heard[..], [Input::Outcome(o)] if o.end == PushEnd::NotSent), "{heard:?}");
+            assert!(desk.nodes.fetch_ended().is_empty());
+        });
+    }
+}
--- a/crates/broker/src/frame.rs
+++ b/crates/broker/src/frame.rs
@@ -1,5 +1,6 @@
 //! Frames between the broker and a node: a length, a letter, the rest.
 
+use barleydrum::PushEnd;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
@@ -12,7 +13,7 @@
     pub id: Bytes,
     pub shard: u32,
     pub wait_ms: u64,
-    pub filter: Bytes,
+    pub text: Bytes,
 }
 
 #[derive(Clone, Debug)]
@@ -21,19 +22,11 @@
     GiveUp(Bytes),
 }
 
-/// How a node ended a part.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NodeEnd {
-    Served,
-    Error,
-    TurnedAway,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FromNode {
     Ended {
         id: Bytes,
-        end: NodeEnd,
+        end: PushEnd,
         value: Bytes,
     },
     /// The node's reason for closing the connection.
@@ -70,9 +63,9 @@
                 to.put_u8(b'1');
                 for part in parts {
                     to.put_slice(&part.id);
-                    let rest = format!(" {} d={} {}\n", part.shard, part.wait_ms, part.filter.len());
+                    let rest = format!(" {} d={} {}\n", part.shard, part.wait_ms, part.text.len());
                     to.put_slice(rest.as_bytes());
-                    to.put_slice(&part.filter);
+                    to.put_slice(&part.text);
                 }
             }
             ToNode::GiveUp(id) => {
@@ -120,9 +113,9 @@
     let fields: Vec<&[u8]> = line.split(|byte| *byte == b' ').collect();
     let [id, end, _score, _report] = fields[..] else { return None };
     let end = match end {
-        b"S" => NodeEnd::Served,
-        b"E" => NodeEnd::Error,
-        b"B" => NodeEnd::TurnedAway,
+        b"S" => PushEnd::Finished,
+        b"E" => PushEnd::Errored,
+        b"B" => PushEnd::Full,
         _ => return None,
     };
     // A value is passed on within JSON, which holds text only.
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -1,6 +1,6 @@
 //! Connections to nodes. Sends the calls it is handed, and tells of each push exactly one end.
 
-use crate::frame::{CalledPart, Frames, FromNode, NodeEnd, ToNode};
+use crate::frame::{BadFrame, CalledPart, Frames, FromNode, ToNode};
 use crate::limits::Limits;
 use barleydrum::{NodeId, PartId, PushEnd, PushNo};
 use bytes::Bytes;
@@ -263,16 +263,13 @@
                     // One that was given up may still answer; then nobody waits for it.
                     let Some(out) = line.out.borrow_mut().remove(&id) else { continue };
                     line.ring.notify_one();
-                    match end {
-                        NodeEnd::Served => self.end(out.push, PushEnd::Finished, Some(value)),
-                        NodeEnd::Error => self.end(out.push, PushEnd::Errored, None),
-                        NodeEnd::TurnedAway => self.end(out.push, PushEnd::Full, None),
-                    }
+                    self.end(out.push, end, (end == PushEnd::Finished).then_some(value));
                 }
                 Ok(FromNode::Aside) => {}
                 Ok(FromNode::Unusable(words)) => {
                     return warn!(node = %line.address, "the node closes: {words}");
                 }
+                Err(BadFrame::Io(e)) => return debug!(node = %line.address, "connection broke: {e}"),
                 Err(e) => return warn!(node = %line.address, "connection closed on a bad frame: {e}"),
             }
         }
--- a/crates/broker/src/retrieval.rs
+++ b/crates/broker/src/retrieval.rs
@@ -23,28 +23,36 @@
 
 #[derive(Deserialize)]
 struct Asked<'a> {
-    slices: Vec<Slice>,
-    #[serde(borrow)]
-    filter: Cow<'a, str>,
+    #[serde(rename = "slices")]
+    parts: Vec<AskedPart>,
+    #[serde(rename = "filter", borrow)]
+    text: Cow<'a, str>,
 }
 
 #[derive(Deserialize)]
-struct Slice {
-    slice: u32,
-    mass: f64,
-    micros: Option<f64>,
+struct AskedPart {
+    #[serde(rename = "slice")]
+    shard: u32,
+    #[serde(rename = "mass")]
+    weight: f64,
+    #[serde(rename = "micros")]
+    work_us: Option<f64>,
 }
 
 #[derive(Serialize)]
 struct Answered<'a> {
-    entire: bool,
-    items: Vec<Item<'a>>,
+    #[serde(rename = "entire")]
+    whole: bool,
+    #[serde(rename = "items")]
+    parts: Vec<AnsweredPart<'a>>,
 }
 
 #[derive(Serialize)]
-struct Item<'a> {
-    slice: u32,
-    body: &'a str,
+struct AnsweredPart<'a> {
+    #[serde(rename = "slice")]
+    shard: u32,
+    #[serde(rename = "body")]
+    value: &'a str,
 }
 
 /// What a retrieval is served with.
@@ -94,7 +102,7 @@
     Ok(body.freeze())
 }
 
-/// Takes out the fields that decide; the filter stays the bytes that came.
+/// Takes out the fields that decide; the text that parts carry stays the bytes that came.
 fn read_question(
     counter: &Counter,
     request: &Request,
@@ -115,32 +123,33 @@
     let time_left: u64 = header(TIME_LEFT).and_then(|text| text.parse().ok()).ok_or("no time left told")?;
     let time_left = Duration::from_millis(time_left).min(counter.limits.longest_wait);
     let asked: Asked = serde_json::from_slice(body).map_err(|_| "a body that can't be read")?;
-    let shards: BTreeSet<u32> = asked.slices.iter().map(|slice| slice.slice).collect();
-    if shards.is_empty() || shards.len() < asked.slices.len() {
+    let shards: BTreeSet<u32> = asked.parts.iter().map(|part| part.shard).collect();
+    if shards.is_empty() || shards.len() < asked.parts.len() {
         return Err("no parts, or one twice");
     }
     if shards.last().is_some_and(|shard| *shard >= counter.shards) {
         return Err("an unknown shard");
     }
-    let sum: f64 = asked.slices.iter().map(|slice| slice.mass).sum();
-    let sound = asked.slices.iter().all(|slice| slice.mass >= 0.0);
+    let sum: f64 = asked.parts.iter().map(|part| part.weight).sum();
+    let sound = asked.parts.iter().all(|part| part.weight >= 0.0);
     if !sound || (sum - 1.0).abs() > counter.limits.weight_slack {
         return Err("weights that do not make a whole");
     }
-    let work: Option<f64> = asked.slices.iter().map(|slice| slice.micros).sum();
-    let filter = match asked.filter {
+    let work: Option<f64> = asked.parts.iter().map(|part| part.work_us).sum();
+    let text = match asked.text {
         Cow::Borrowed(text) => body.slice_ref(text.as_bytes()),
         Cow::Owned(text) => Bytes::from(text),
     };
-    let part = |slice: &Slice| QuestionPart { shard: ShardNo(slice.slice), weight: slice.mass };
+    let part = |part: &AskedPart| QuestionPart { shard: ShardNo(part.shard), weight: part.weight };
     Ok(Question {
         id: Bytes::copy_from_slice(id.as_bytes()),
         category,
         caller,
         until: arrived + time_left,
         work: Tenths::from_ms(work.unwrap_or(0.0).max(0.0) / 1000.0),
-        parts: asked.slices.iter().map(part).collect(),
-        filter,
+        parts: asked.parts.iter().map(part).collect(),
+        text,
+        holds: body.len(),
     })
 }
 
@@ -148,9 +157,9 @@
     let mut texts = Vec::with_capacity(items.len());
     for (shard, value) in items {
         // A frame that brings no text is a bad one, so all of them are.
-        texts.extend(std::str::from_utf8(value).map(|body| Item { slice: shard.0, body }));
+        texts.extend(std::str::from_utf8(value).map(|value| AnsweredPart { shard: shard.0, value }));
     }
-    let body = serde_json::to_vec(&Answered { entire: whole, items: texts }).ok();
+    let body = serde_json::to_vec(&Answered { whole, parts: texts }).ok();
     match body.filter(|body| body.len() <= most) {
         Some(body) => {
             respond(Response::build(StatusCode::OK).insert_header((CONTENT_TYPE, "application/json")), body)
--- a/crates/broker/src/roll.rs
+++ b/crates/broker/src/roll.rs
@@ -10,39 +10,46 @@
 use std::time::Duration;
 use tracing::warn;
 
-/// A list of nodes, as discovery writes it.
+/// Nodes as discovery lists them: all, or those that changed.
 #[derive(Clone, Debug, Deserialize)]
-pub struct Members {
+pub struct Listing {
     pub revision: u64,
-    pub complete: bool,
-    pub members: Vec<Member>,
+    #[serde(rename = "complete")]
+    pub all: bool,
+    #[serde(rename = "members")]
+    pub nodes: Vec<ListedNode>,
 }
 
 #[derive(Clone, Debug, Deserialize)]
-pub struct Member {
-    pub id: String,
-    pub host_port: SocketAddr,
-    pub locality: String,
+pub struct ListedNode {
+    #[serde(rename = "id")]
+    pub name: String,
+    #[serde(rename = "host_port")]
+    pub address: SocketAddr,
+    #[serde(rename = "locality")]
+    pub zone: String,
     pub cell: u32,
-    pub phase: Phase,
-    #[serde(default)]
-    pub up_since_ms: f64,
+    #[serde(rename = "phase")]
+    pub standing: ListedStanding,
+    /// In Unix time; 0 for long ago.
+    #[serde(rename = "up_since_ms", default)]
+    pub started_ms: f64,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
 #[serde(rename_all = "lowercase")]
-pub enum Phase {
+pub enum ListedStanding {
     Ready,
     Draining,
     Gone,
 }
 
-impl From<Phase> for Standing {
-    fn from(phase: Phase) -> Standing {
-        match phase {
-            Phase::Ready => Standing::Ready,
-            Phase::Draining => Standing::Draining,
-            Phase::Gone => Standing::Gone,
+impl From<ListedStanding> for Standing {
+    fn from(listed: ListedStanding) -> Standing {
+        match listed {
+            ListedStanding::Ready => Standing::Ready,
+            ListedStanding::Draining => Standing::Draining,
+            ListedStanding::Gone => Standing::Gone,
         }
     }
 }
@@ -66,20 +73,20 @@
     discovery: SocketAddr,
 ) -> Result<std::convert::Infallible, String> {
     let list = format!("http://{discovery}/catalog/members");
-    let mut members = call(limits, client, &list, limits.watch_slack).await?;
-    if !members.complete {
+    let mut listing = call(limits, client, &list, limits.watch_slack).await?;
+    if !listing.all {
         return Err("asked for all nodes, discovery sent changes".to_owned());
     }
     loop {
-        let revision = members.revision;
-        let kind = if members.complete { RollKind::Full } else { RollKind::Changes };
-        desk.hear_roll(kind, members);
+        let revision = listing.revision;
+        let kind = if listing.all { RollKind::Full } else { RollKind::Changes };
+        desk.hear_roll(kind, listing);
         let url = format!("{list}?after={revision}&wait_ms={}", limits.watch.as_millis());
-        members = call(limits, client, &url, limits.watch + limits.watch_slack).await?;
+        listing = call(limits, client, &url, limits.watch + limits.watch_slack).await?;
     }
 }
 
-async fn call(limits: &Limits, client: &Client, url: &str, within: Duration) -> Result<Members, String> {
+async fn call(limits: &Limits, client: &Client, url: &str, within: Duration) -> Result<Listing, String> {
     let exchange = async {
         let mut response = client.get(url).send().await.map_err(|e| e.to_string())?.timeout(within);
         if !response.status().is_success() {
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -1,7 +1,7 @@
 //! What the broker is told when it starts: the environment and the config file.
 
 use crate::limits::{Limits, Machine};
-use crate::roll::Members;
+use crate::roll::Listing;
 use intake::Intake;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -16,7 +16,7 @@
     pub seed: u64,
     pub intake: Intake,
     /// The nodes as this broker last had them.
-    pub known: Option<Members>,
+    pub known: Option<Listing>,
     pub limits: Limits,
     /// Whether a category has a second step, which this protocol does not carry.
     pub two_steps: Vec<bool>,
@@ -29,7 +29,7 @@
     discovery: Option<String>,
     seed: String,
     limits: FileLimits,
-    known: Option<Members>,
+    known: Option<Listing>,
     #[serde(borrow)]
     settings: &'a RawValue,
 }
