What the protocol has no place for is declined: second steps, marks of numbered retrievals

Checked: a log of what clients send shows an Idempotency-Key on numbered retrievals only. Timers of pushes that have ended are struck, so that they no longer wake the desk for nothing. The test of a client that leaves now fails where half-closed connections are kept (it passed by the part's time-out).

--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -58,7 +58,6 @@
 
 struct Open {
     id: Bytes,
-    category: CategoryNo,
     until: Tenths,
     parts: Vec<PartId>,
     text: Bytes,
@@ -88,10 +87,29 @@
 /// Pushes that are out.
 #[derive(Default)]
 struct Pushes {
-    out: HashMap<PushId, (NodeId, Tenths)>,
+    out: HashMap<PushId, OutPush>,
     timers: BTreeSet<(Tenths, Timer, PushId)>,
 }
 
+struct OutPush {
+    node: NodeId,
+    sent: Tenths,
+    timers: [(Tenths, Timer); 2],
+}
+
+impl Pushes {
+    fn enter(&mut self, push: PushId, out: OutPush) {
+        self.timers.extend(out.timers.map(|(at, timer)| (at, timer, push)));
+        self.out.insert(push, out);
+    }
+
+    fn strike(&mut self, push: PushId) -> Option<OutPush> {
+        let out = self.out.remove(&push)?;
+        out.timers.iter().for_each(|(at, timer)| _ = self.timers.remove(&(*at, *timer, push)));
+        Some(out)
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     /// By then its first byte is written, or it is taken back.
@@ -112,7 +130,6 @@
     limits: Rc<Limits>,
     nodes: Rc<Nodes>,
     broker: RefCell<Broker>,
-    two_steps: Vec<bool>,
     started: (Instant, Tenths),
     heard: RefCell<Vec<Input>>,
     book: RefCell<Book>,
@@ -126,13 +143,7 @@
 }
 
 impl Desk {
-    pub fn new(
-        prescription: Prescription,
-        zones: Vec<String>,
-        two_steps: Vec<bool>,
-        seed: u64,
-        limits: Rc<Limits>,
-    ) -> Rc<Desk> {
+    pub fn new(prescription: Prescription, zones: Vec<String>, seed: u64, limits: Rc<Limits>) -> Rc<Desk> {
         // The roll tells starts in Unix time, so the clock counts from there, and only ever forward.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = Tenths((unix.as_micros() / 100) as i64);
@@ -140,7 +151,6 @@
             nodes: Nodes::new(limits.clone()),
             limits,
             broker: RefCell::new(Broker::start(prescription, seed, now)),
-            two_steps,
             started: (Instant::now(), now),
             heard: RefCell::new(vec![Input::Woken]),
             book: RefCell::default(),
@@ -212,8 +222,8 @@
             book.parts.insert(*part, OpenPart { retrieval: id, shard, wire_id, pushes: 0, value: None });
         }
         let (tell, verdict) = oneshot::channel();
-        let Question { id: wire_id, category, text, .. } = question;
-        let open = Open { id: wire_id, category, until, parts, text, bytes, tell };
+        let Question { id: wire_id, text, .. } = question;
+        let open = Open { id: wire_id, until, parts, text, bytes, tell };
         book.retrievals.insert(id, open);
         self.bell.notify_one();
         Ok(Taken { desk: self.clone(), id, verdict })
@@ -325,7 +335,9 @@
     /// Takes over the ends of pushes, with the values that came.
     fn fetch_ended(&self) {
         for Ended { push: (part, push), end, value, at } in self.nodes.fetch_ended() {
-            let Some((node, sent)) = self.pushes.borrow_mut().out.remove(&(part, push)) else { continue };
+            let Some(OutPush { node, sent, .. }) = self.pushes.borrow_mut().strike((part, push)) else {
+                continue;
+            };
             let end = if self.keep_value(part, value) { end } else { PushEnd::Errored };
             let took = self.tenths(at) - sent;
             self.heard.borrow_mut().push(Input::Outcome(PushOutcome { part, push, node, end, took }));
@@ -397,7 +409,9 @@
                     withdrawn.push((part, push));
                     self.nodes.give_up((part, push), PushEnd::Withdrawn);
                 }
-                Effect::Answer { retrieval, whole } => self.answer(retrieval, whole),
+                Effect::Answer { retrieval, whole } => {
+                    self.tell(retrieval, |items| Verdict::Answer { whole, items });
+                }
                 Effect::Decline { retrieval, stay_away } => {
                     self.tell(retrieval, |_| Verdict::Decline { stay_away });
                 }
@@ -438,16 +452,14 @@
         part.pushes += 1;
         let (retrieval, shard, wire_id) = (part.retrieval, part.shard.0, part.wire_id.clone());
         let text = book.retrievals.get(&retrieval)?.text.clone();
-        let mut pushes = self.pushes.borrow_mut();
-        pushes.out.insert(push, (node, now));
-        pushes.timers.insert((now + self.limits.unsent, Timer::Unsent, push));
-        pushes.timers.insert((now + time_out, Timer::Over, push));
+        let timers = [(now + self.limits.unsent, Timer::Unsent), (now + time_out, Timer::Over)];
+        self.pushes.borrow_mut().enter(push, OutPush { node, sent: now, timers });
         let wait_ms = span(time_out).as_millis().max(1) as u64;
         Some(Sending { push, part: CalledPart { id: wire_id, shard, wait_ms, text } })
     }
 
     fn never_sent(&self, node: NodeId, (part, push): PushId) {
-        self.pushes.borrow_mut().out.remove(&(part, push));
+        self.pushes.borrow_mut().strike((part, push));
         let (end, took) = (PushEnd::NotSent, Tenths::ZERO);
         self.hear(Input::Outcome(PushOutcome { part, push, node, end, took }));
     }
@@ -472,13 +484,6 @@
         calls
     }
 
-    /// A category with a second step is never whole here: the protocol has no such step.
-    fn answer(&self, id: RetrievalId, whole: bool) {
-        let category = self.book.borrow().retrievals.get(&id).map(|open| open.category.0);
-        let two_steps = category.is_some_and(|category| self.two_steps.get(category as usize) == Some(&true));
-        self.tell(id, |items| Verdict::Answer { whole: whole && !two_steps, items });
-    }
-
     fn tell(&self, id: RetrievalId, verdict: impl FnOnce(Vec<(ShardNo, Bytes)>) -> Verdict) {
         if let Some((open, items)) = self.close(id) {
             // One who has just left hears nothing.
@@ -539,7 +544,7 @@
             let mut intake = Intake::default();
             intake.prescription.limits.most_open = 10;
             let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
-            let desk = Desk::new(intake.prescription, Vec::new(), Vec::new(), 1, Rc::new(limits));
+            let desk = Desk::new(intake.prescription, Vec::new(), 1, Rc::new(limits));
             let address = "127.0.0.1:9".parse().unwrap();
             desk.nodes.listens(NodeId(1), Some(address), true);
             let parts = vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }];
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -51,15 +51,15 @@
     let listens = listener.local_addr()?;
     let limits = Rc::new(order.limits);
     let (prescription, names) = (order.intake.prescription, order.intake.names);
-    if order.two_steps.contains(&true) {
-        warn!("a category has a second step, which this protocol lacks: its answers are never marked whole");
+    let (shards, categories) = (prescription.layout.shards, prescription.categories.clone());
+    if categories.iter().any(|category| category.second_parts > 0) {
+        warn!("a category has a second step, which this protocol lacks: its retrievals are declined");
     }
-    let shards = prescription.layout.shards;
-    let desk = Desk::new(prescription, names.zones.clone(), order.two_steps, order.seed, limits.clone());
+    let desk = Desk::new(prescription, names.zones.clone(), order.seed, limits.clone());
     if let Some(known) = order.known {
         desk.hear_roll(RollKind::Remembered, known);
     }
-    let counter = Counter { desk: desk.clone(), names, shards, limits: limits.clone() };
+    let counter = Counter { desk: desk.clone(), names, categories, shards, limits: limits.clone() };
     let front = Front::new(counter);
     actix_rt::spawn(desk.clone().run());
     actix_rt::spawn(roll::follow(desk.clone(), limits.clone(), order.discovery));
--- a/crates/broker/src/retrieval.rs
+++ b/crates/broker/src/retrieval.rs
@@ -4,7 +4,7 @@
 use crate::limits::Limits;
 use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{HttpMessage, Request, Response, ResponseBuilder, StatusCode};
-use barleydrum::{CallerNo, CategoryNo, ShardNo, Tenths};
+use barleydrum::{CallerNo, Category, CategoryNo, EffectKind, ShardNo, Tenths};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use intake::Names;
@@ -19,6 +19,7 @@
 const ID: &str = "X-Correlation-Id";
 const CATEGORY: &str = "X-Service-Class";
 const CALLER: &str = "X-Account";
+const MARK: &str = "Idempotency-Key";
 const TIME_LEFT: &str = "X-Time-Left-Ms";
 
 #[derive(Deserialize)]
@@ -59,6 +60,7 @@
 pub struct Counter {
     pub desk: Rc<Desk>,
     pub names: Names,
+    pub categories: Vec<Category>,
     pub shards: u32,
     pub limits: Rc<Limits>,
 }
@@ -77,6 +79,9 @@
         Err(why) => return bad(StatusCode::BAD_REQUEST, why),
     };
     drop((held, body));
+    if !can_be_carried(counter, &request, question.category) {
+        return decline(Tenths::ZERO);
+    }
     let verdict = match desk.take(question) {
         Ok(taken) => taken.verdict().await,
         Err(NotTaken::Full) => Verdict::Decline { stay_away: Tenths::ZERO },
@@ -89,6 +94,16 @@
     }
 }
 
+/// Guards against effects twice, and answers less than they say: a numbered retrieval's mark has no place in
+/// a call, so what brings one is not sent without it; and there is no second step, without which an answer
+/// of a category that has one holds nothing.
+fn can_be_carried(counter: &Counter, request: &Request, category: CategoryNo) -> bool {
+    counter.categories.get(category.0 as usize).is_some_and(|category| {
+        let marked = category.effect == EffectKind::Numbered && request.headers().contains_key(MARK);
+        !marked && category.second_parts == 0
+    })
+}
+
 async fn read_body(request: &mut Request, most: usize) -> Result<Bytes, StatusCode> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -18,8 +18,6 @@
     /// The nodes as this broker last had them.
     pub known: Option<Listing>,
     pub limits: Limits,
-    /// Whether a category has a second step, which this protocol does not carry.
-    pub two_steps: Vec<bool>,
 }
 
 #[derive(Deserialize)]
@@ -65,9 +63,6 @@
         intake.prescription.send_lag = limits.unsent + limits.period;
         // Discovery is asked here; what the settings call automatic, the agent's watch brings about.
         intake.prescription.roll_on_request = true;
-        let categories = &mut intake.prescription.categories;
-        let two_steps = categories.iter().map(|category| category.second_parts > 0).collect();
-        categories.iter_mut().for_each(|category| category.second_parts = 0);
         Ok(Order {
             name: env("EDGE_NAME").or(file.name).ok_or("`name` is missing")?,
             listen: address("listen", file.listen)?,
@@ -76,7 +71,6 @@
             intake,
             known: file.known,
             limits,
-            two_steps,
         })
     }
 }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -66,8 +66,10 @@
         let mut stage = Stage::new(1).await;
         let client = stage.ask("a", "lookup", ONE).await;
         let (node, line, _) = stage.call().await;
+        let left = Instant::now();
         drop(client);
         assert_eq!(stage.next().await, (node, line, Heard::GiveUp("a.3".to_owned())));
+        assert!(left.elapsed() < Duration::from_secs(5), "that was its time-out");
         assert_eq!(stage.broker.desk.open_retrievals(), 0);
         // A value that comes all the same is nobody's; the connection serves on.
         stage.nodes[node].end(line, "a.3", 'S', "late").await;
@@ -400,18 +402,32 @@
     });
 }
 
-/// A protocol without a second step never calls the answer of a category that has one whole.
+/// What this protocol has no place for is declined, and nothing of it is sent: a second step, without which
+/// an answer would be none, and the mark by which repeats of a numbered retrieval are known.
 #[rstest]
-fn two_steps_are_never_whole() {
+#[case("lookup", "", 503)]
+#[case("once", "Idempotency-Key: 710d\r\n", 503)]
+#[case("once", "", 200)]
+#[case("report", "Idempotency-Key: 710d\r\n", 200)]
+fn declines_what_the_protocol_does_not_carry(
+    #[case] category: &str,
+    #[case] header: &str,
+    #[case] status: u16,
+) {
     play(async {
-        let mut stage =
-            Stage::with(1, |c| c["settings"]["Domain"]["FetchParts"] = json!([0, 2, 0]), |_| ()).await;
-        let mut client = stage.ask("a", "lookup", ONE).await;
-        let (node, line, _) = stage.call().await;
-        stage.nodes[node].end(line, "a.3", 'S', "v").await;
-        let reply = client.reply().await.unwrap();
-        assert!(reply.status == 200 && reply.body.contains("\"entire\":false"), "{reply:?}");
-        pause(50).await;
+        let other = |c: &mut Value| {
+            c["settings"]["Domain"]["FetchParts"] = json!([0, 2, 0]);
+            c["settings"]["Services"][2]["Effect"] = json!("deduplicated");
+        };
+        let mut stage = Stage::with(1, other, |_| ()).await;
+        let mut client = stage.client().await;
+        let text = request("a", category, 9000, &body(ONE)).replace("Host:", &format!("{header}Host:"));
+        client.write(&text).await;
+        if status == 200 {
+            let (node, line, _) = stage.call().await;
+            stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        }
+        assert_eq!(client.reply().await.unwrap().status, status);
         assert!(stage.is_silent());
     });
 }
