Parts that have their values are not open: fewer retrievals are declined at MaxOpen

Checked: the time of each verdict. Five of six declines came within 0.2 ms of the request, before the module had its turn: the desk's own bound, MaxOpen. Ruled out: answers that fail (the column read at first as such is declines), slow turns, connections. At fault: the count in Desk::take held every part until its retrieval's end; a part is open only until its value is in, and wide reports are mostly answered parts.

--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -80,6 +80,8 @@
     parts: HashMap<PartId, OpenPart>,
     wire_ids: HashSet<Bytes>,
     last_id: u64,
+    /// Parts whose value has not come.
+    lacking: usize,
     /// Bytes held for them.
     bytes: usize,
 }
@@ -191,7 +193,9 @@
     pub fn take(self: &Rc<Self>, question: Question) -> Result<Taken, NotTaken> {
         let mut book = self.book.borrow_mut();
         let bytes = question.id.len() * (question.parts.len() + 1) + question.holds;
-        let held = book.retrievals.len() + book.parts.len();
+        // Guards against wide retrievals that are all but answered and keep others out: a part that has its
+        // value is no longer open, though its retrieval is.
+        let held = book.retrievals.len() + book.lacking;
         if held + question.parts.len() + 1 > self.limits.most_open || book.bytes + bytes > self.limits.held {
             return Err(NotTaken::Full);
         }
@@ -199,6 +203,7 @@
             return Err(NotTaken::Known);
         }
         book.bytes += bytes;
+        book.lacking += question.parts.len();
         let mut next = || {
             book.last_id += 1;
             book.last_id
@@ -239,6 +244,7 @@
             (0..entry.pushes).for_each(|no| _ = self.nodes.take_back((*part, PushNo(no)), PushEnd::NotSent));
             parts.push(entry);
         }
+        book.lacking -= parts.iter().filter(|part| part.value.is_none()).count();
         let items: Vec<_> = parts.into_iter().filter_map(|p| Some((p.shard, p.value?))).collect();
         book.bytes -= open.bytes + items.iter().map(|(_, value)| value.len()).sum::<usize>();
         book.wire_ids.remove(&open.id);
@@ -355,6 +361,7 @@
             // A copy of its own: the connection's buffer is not held on to for a few bytes of it.
             open.value = Some(Bytes::copy_from_slice(&value));
             book.bytes += length;
+            book.lacking -= 1;
             return true;
         }
         open.value.is_some()
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -305,6 +305,38 @@
     });
 }
 
+/// Parts that have their values are not open any more, and make room for others.
+#[rstest]
+fn values_that_came_make_room() {
+    play(async {
+        let mut stage = Stage::with(1, |c| c["settings"]["Limits"]["MaxOpen"] = json!(5), |_| ()).await;
+        let mut first = stage.ask("a", "lookup", &[(0, 0.25), (1, 0.25), (2, 0.25), (3, 0.25)]).await;
+        let (_, line, _) = stage.call().await;
+        assert_eq!(stage.ask("b", "lookup", ONE).await.reply().await.unwrap().status, 503);
+        for id in ["a.0", "a.1"] {
+            stage.nodes[0].end(line, id, 'S', "v").await;
+        }
+        // The values are on their way: until they are in, it is declined still.
+        let mut third = soon(async {
+            loop {
+                let mut client = stage.ask("c", "lookup", ONE).await;
+                let declined = tokio::time::timeout(Duration::from_millis(200), client.reply()).await;
+                if declined.is_err() {
+                    break client;
+                }
+            }
+        })
+        .await;
+        for id in ["a.2", "a.3"] {
+            stage.nodes[0].end(line, id, 'S', "v").await;
+        }
+        let (_, line, parts) = stage.call().await;
+        stage.nodes[0].end(line, &parts[0].id, 'S', "v").await;
+        assert_eq!(third.reply().await.unwrap().status, 200);
+        assert_eq!(first.reply().await.unwrap().status, 200);
+    });
+}
+
 /// A client that is slow with its head or its body is let go, one that is idle is not.
 #[rstest]
 fn lets_slow_clients_go() {
