--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -136,7 +136,7 @@
         if self.s.ready_heard * 2 >= self.s.ready {
             self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
         }
-        // Rule 6 in any window: taken is counted over one shorter by the way to a node, further over a longer.
+        // Rule 6 in any window: taken counts over one shorter by the way to a node, further over a longer.
         let (since, slack) = (now - self.further.window, self.leaves_by());
         self.s.forget(since + slack, since - slack);
         for input in inputs {
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -242,9 +242,10 @@
             Err(_) => debug!(node = %line.address, "no connection in time"),
         }
         line.closing.set(true);
-        if let Some(lines) = self.lines.borrow_mut().get_mut(&line.node) {
+        self.lines.borrow_mut().retain(|_, lines| {
             lines.retain(|other| !Rc::ptr_eq(other, &line));
-        }
+            !lines.is_empty()
+        });
         let mut lost: Vec<Out> = line.out.take().into_values().collect();
         lost.sort_by_key(|out| out.push);
         for out in lost {
--- a/crates/broker/tests/sockets/stand_ins.rs
+++ b/crates/broker/tests/sockets/stand_ins.rs
@@ -184,7 +184,7 @@
         "flavor": "std", "cell": at, "phase": phase, "size": 1.0, "up_since_ms": 0})
 }
 
-/// A config as a broker finds it; categories: `report` may be partial, `lookup` not, `once` runs at most once.
+/// A config as a broker finds it; of its categories `report` may be partial, and `once` runs at most once.
 pub fn config(nodes: &[Node], discovery: &str) -> Value {
     let category = |name: &str, effect: &str| {
         json!({"Name": name, "OnTimeMs": 8000.0, "DeadlineMs": 16000.0, "Worth": 1.0, "LateShare": 0.1,
@@ -269,8 +269,8 @@
 
 pub fn request(id: &str, category: &str, left_ms: u64, body: &str) -> String {
     format!(
-        "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\nX-Service-Class: {category}\r\n\
-         X-Time-Left-Ms: {left_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\n\
+         X-Service-Class: {category}\r\nX-Time-Left-Ms: {left_ms}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     )
 }
