At its bound the front lets idle connections go, and gives new ones time for their first request

Found by reading: with every place taken by connections that had fallen idle, nothing was accepted until their keep-alive ran out. And one that had just been accepted counted as idle, so it could be closed with its first request on the way.

--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -32,12 +32,16 @@
     /// Since when the client has not taken all that was written.
     stuck: Cell<Option<Instant>>,
     used: Cell<Instant>,
+    served: Cell<bool>,
     go: Notify,
 }
 
 impl Line {
-    fn is_idle(&self) -> bool {
-        !self.busy.get() && self.begun.get().is_none() && self.stuck.get().is_none()
+    /// Nothing is under way on it. One that is new has `grace` for its first request, which may have been
+    /// written already.
+    fn is_idle(&self, grace: Duration) -> bool {
+        let at_rest = !self.busy.get() && self.begun.get().is_none() && self.stuck.get().is_none();
+        at_rest && (self.served.get() || self.used.get().elapsed() > grace)
     }
 }
 
@@ -118,6 +122,10 @@
         let mut sweep = interval(limits.sweep);
         loop {
             let room = self.lines.borrow().len() < most;
+            // Guards against connections that fill the bound, fall idle and keep all others waiting.
+            if !room {
+                self.let_idle_go();
+            }
             tokio::select! {
                 biased;
                 accepted = listener.accept(), if room => match accepted {
@@ -156,6 +164,7 @@
             begun: Cell::default(),
             stuck: Cell::default(),
             used: Cell::new(Instant::now()),
+            served: Cell::default(),
             go: Notify::new(),
         });
         self.lines.borrow_mut().push(line.clone());
@@ -214,7 +223,8 @@
     /// Lets the longest idle connection go; tells whether there was one.
     fn let_idle_go(&self) -> bool {
         let lines = self.lines.borrow();
-        let longest = lines.iter().filter(|line| line.is_idle()).min_by_key(|line| line.used.get());
+        let idle = lines.iter().filter(|line| line.is_idle(self.counter.limits.sweep));
+        let longest = idle.min_by_key(|line| line.used.get());
         longest.inspect(|line| line.go.notify_one()).is_some()
     }
 
@@ -240,7 +250,8 @@
             if lines.is_empty() {
                 return;
             }
-            lines.iter().filter(|line| line.is_idle()).for_each(|line| line.go.notify_one());
+            let idle = lines.iter().filter(|line| line.is_idle(self.counter.limits.sweep));
+            idle.for_each(|line| line.go.notify_one());
             tokio::select! {
                 () = ended => {}
                 () = sleep(self.counter.limits.sweep / 10) => self.let_slow_go(),
@@ -268,5 +279,6 @@
     fn drop(&mut self) {
         self.0.busy.set(false);
         self.0.used.set(Instant::now());
+        self.0.served.set(true);
     }
 }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -305,6 +305,28 @@
     });
 }
 
+/// With every place taken a new connection waits, and is served as soon as one of the others is idle.
+#[rstest]
+fn idle_connections_make_room_at_the_bound() {
+    play(async {
+        let few = |c: &mut Value| c["limits"]["sockets"] = json!(64);
+        let stage = Stage::with(1, few, |order| order.limits.slow = Duration::from_secs(90)).await;
+        let mut held = Vec::new();
+        for _ in 0..16 {
+            let mut client = stage.client().await;
+            client.write("GET /_health HT").await;
+            pause(20).await;
+            held.push(client);
+        }
+        let mut waits = stage.client().await;
+        waits.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert!(tokio::time::timeout(Duration::from_millis(200), waits.reply()).await.is_err());
+        held[0].write("TP/1.1\r\nHost: x\r\n\r\n").await;
+        assert_eq!(held[0].reply().await.unwrap().status, 200);
+        assert_eq!(waits.reply().await.unwrap().status, 200);
+    });
+}
+
 /// Parts that have their values are not open any more, and make room for others.
 #[rstest]
 fn values_that_came_make_room() {
