--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -213,3 +213,28 @@
     };
     Ok(Intake { prescription, names, lines })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const TEXT: &str = r#"{"Instances": 1, "PeriodMs": 5.0, "RegistryMode": "automatic", "Surprise": [1],
+        "Areas": ["hall"], "Tenants": [{"Name": "clinic", "QuotaRps": 2.5}],
+        "Services": [{"Name": "report", "OnTimeMs": 2000.0, "DeadlineMs": 5000.0, "Worth": 3.0,
+            "Effect": "deduplicated"}],
+        "Domain": {"Cells": 1, "Reach": 1, "Ranges": 1, "CompleteFrom": [1.0], "MinShare": [0.4]},
+        "Limits": {"MaxAttempts": 3, "MaxOpen": 111, "ConnIdleMs": 15000.0, "StreamsPerConn": 32}, "Rules": {}}"#;
+
+    #[rstest]
+    fn reads_what_a_broker_and_its_front_need() {
+        let Intake { prescription: read, names, lines } = super::read(TEXT.as_bytes()).unwrap();
+        assert_eq!((read.period, read.limits.most_open, read.roll_on_request), (Tenths(50), 111, false));
+        let category = &read.categories[0];
+        assert_eq!((category.effect, category.least_share), (EffectKind::Numbered, 0.4));
+        assert!(read.rules.further.is_none());
+        assert_eq!((&names.categories[0][..], &names.callers[0][..]), ("report", "clinic"));
+        assert_eq!((&names.zones[0][..], read.callers[0].quota_per_s), ("hall", 2.5));
+        assert_eq!((lines.idle, lines.connect, lines.parts), (Some(Tenths(150_000)), None, Some(32)));
+    }
+}
--- a/crates/wirehost/src/tests.rs
+++ b/crates/wirehost/src/tests.rs
@@ -117,12 +117,3 @@
     let reply = Host::default().play(batch).unwrap().frame();
     assert_eq!(reply[8..11], bytes("59 0300"), "the broker says that it cannot go on");
 }
-
-#[rstest]
-fn reads_the_settings() {
-    let read = intake::read(SETTINGS.as_bytes()).unwrap().prescription;
-    assert_eq!((read.period, read.limits.most_open, read.roll_on_request), (Tenths(50), 111, false));
-    let category = &read.categories[0];
-    assert_eq!((category.effect, category.least_share), (EffectKind::Numbered, 0.4));
-    assert!(read.rules.further.is_none());
-}
