--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -220,6 +220,28 @@
     });
 }
 
+/// A silent discovery is asked anew; one that only keeps a watch waiting, as it was told to, is waited for.
+#[rstest]
+fn tells_a_long_watch_from_silence() {
+    play(async {
+        let waits = |order: &mut Order| {
+            order.limits.watch = Duration::from_secs(8);
+            order.limits.watch_slack = Duration::from_millis(300);
+        };
+        let mut stage = Stage::with(1, |_| (), waits).await;
+        assert_eq!(stage.discovery.called().await, "/catalog/members");
+        assert_eq!(stage.discovery.called().await, "/catalog/members", "the first was never answered");
+        let members = [member(&stage.nodes, 0, "ready")];
+        let list = json!({"revision": 2, "complete": true, "members": members});
+        (stage.discovery.reply(&list), stage.discovery.reply(&list));
+        let watch = "/catalog/members?after=2&wait_ms=8000";
+        assert_eq!(stage.discovery.called().await, watch);
+        pause(5500).await; // longer than the HTTP client waits by default
+        stage.discovery.reply(json!({"revision": 2, "complete": false, "members": []}));
+        assert_eq!(stage.discovery.called().await, watch);
+    });
+}
+
 #[rstest]
 fn is_ready_once_it_knows_a_node() {
     play(async {
