--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -233,7 +233,9 @@
         assert_eq!(stage.discovery.called().await, "/catalog/members", "the first was never answered");
         let members = [member(&stage.nodes, 0, "ready")];
         let list = json!({"revision": 2, "complete": true, "members": members});
-        (stage.discovery.reply(&list), stage.discovery.reply(&list));
+        // One for the call that was given up, one for the next.
+        stage.discovery.reply(&list);
+        stage.discovery.reply(&list);
         let watch = "/catalog/members?after=2&wait_ms=8000";
         assert_eq!(stage.discovery.called().await, watch);
         pause(5500).await; // longer than the HTTP client waits by default
