Leaving waits until the listener's last connections are taken

Found by reading: with no connection open, closing returned before the accept loop had run again, and the program could exit with a request in the listener's line. The test (a request written just before the close, no connection before it) failed without the change.

--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -88,6 +88,8 @@
     /// New connections are no longer wanted.
     closing: Cell<bool>,
     close: Notify,
+    /// Rung when nothing more is accepted.
+    closed: Notify,
 }
 
 impl Front {
@@ -98,6 +100,7 @@
             line_ended: Notify::new(),
             closing: Cell::default(),
             close: Notify::new(),
+            closed: Notify::new(),
         })
     }
 
@@ -141,11 +144,13 @@
             }
         }
         // Guards against connections that were made and are not known of yet: closing would reset them.
-        let Ok(listener) = listener.into_std() else { return };
-        while self.lines.borrow().len() < most {
-            let Ok(stream) = listener.accept().and_then(|(stream, _)| into_async(stream)) else { break };
-            self.clone().welcome(stream, service.clone());
+        if let Ok(listener) = listener.into_std() {
+            while self.lines.borrow().len() < most {
+                let Ok(stream) = listener.accept().and_then(|(stream, _)| into_async(stream)) else { break };
+                self.clone().welcome(stream, service.clone());
+            }
         }
+        self.closed.notify_one();
     }
 
     fn welcome<S>(self: Rc<Self>, stream: TcpStream, service: Rc<S>)
@@ -244,6 +249,7 @@
     pub async fn close(&self) {
         self.closing.set(true);
         self.close.notify_one();
+        self.closed.notified().await;
         loop {
             let ended = self.line_ended.notified();
             let lines = self.lines.borrow().clone();
@@ -282,3 +288,37 @@
         self.0.served.set(true);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::desk::Desk;
+    use crate::limits::{Limits, Machine};
+    use intake::Intake;
+    use rstest::rstest;
+    use std::io::{Read, Write};
+
+    /// What stands in the listener's line when the front closes is answered before it is closed.
+    #[rstest]
+    fn answers_the_last_in_line() {
+        actix_rt::Runtime::new().unwrap().block_on(async {
+            let Intake { prescription, names, .. } = Intake::default();
+            let machine = Machine { memory_mb: 192, sockets: 1024 };
+            let limits = Rc::new(Limits::new(machine, &Intake::default()).unwrap());
+            let desk = Desk::new(prescription, Vec::new(), 1, limits.clone());
+            let front = Front::new(Counter { desk, names, categories: Vec::new(), shards: 1, limits });
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            actix_rt::spawn(front.clone().run(listener));
+            sleep(Duration::from_millis(50)).await;
+            // Made and written to without a moment for the front to accept it.
+            let mut client = std::net::TcpStream::connect(address).unwrap();
+            client.write_all(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+            front.close().await;
+            client.set_nonblocking(true).unwrap();
+            let mut reply = [0; 12];
+            client.read_exact(&mut reply).unwrap();
+            assert_eq!(&reply, b"HTTP/1.1 503"); // it knows no node
+        });
+    }
+}
