SIGHUP: discovery is followed where the new file says; it used to end the process

Checked: 129 is 128 + 1, death by SIGHUP; run() listened for SIGTERM only (lib.rs, leave.rs), and nothing read the file again. Excluded: a panic (no line of one, and those abort with 134), memory.

Now both signals are listened for before the file is read; a reload reads the whole file, takes discovery's place from it (not from the environment, which held for the start) and drops the watch that was out. The full list of the new place is taken whatever its revision; names keep their nodes. A file that can't be used is told of and changes nothing.

--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -18,6 +18,7 @@
 mod leave;
 pub mod limits;
 pub mod nodes;
+mod reload;
 pub mod retrieval;
 pub mod roll;
 mod start;
@@ -35,12 +36,15 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tracing::{error, info, warn};
 
 /// A broker that serves.
 pub struct Running {
     pub listens: SocketAddr,
     pub desk: Rc<Desk>,
+    /// Where discovery is; it may move while the broker runs.
+    pub discovery: watch::Sender<SocketAddr>,
     front: Rc<Front>,
     limits: Rc<Limits>,
 }
@@ -62,20 +66,23 @@
     let counter = Counter { desk: desk.clone(), names, categories, shards, limits: limits.clone() };
     let front = Front::new(counter);
     actix_rt::spawn(desk.clone().run());
-    actix_rt::spawn(roll::follow(desk.clone(), limits.clone(), order.discovery));
+    let (discovery, place) = watch::channel(order.discovery);
+    actix_rt::spawn(roll::follow(desk.clone(), limits.clone(), place));
     actix_rt::spawn(front.clone().run(listener));
     info!("{} serves on {listens}", order.name);
-    Ok(Running { listens, desk, front, limits })
+    Ok(Running { listens, desk, discovery, front, limits })
 }
 
 /// The program: starts as the environment says, serves until told to leave.
 pub fn run() -> ExitCode {
     tracing_subscriber::fmt().with_ansi(false).with_writer(io::stderr).with_target(false).init();
-    let served = Order::from_env().and_then(|order| {
-        let runtime = actix_rt::Runtime::new().map_err(|e| e.to_string())?;
+    let served = actix_rt::Runtime::new().map_err(|e| e.to_string()).and_then(|runtime| {
         runtime.block_on(async {
+            // Listened for before anything else: without that, either signal ends the process.
             let mut leave = word().map_err(|e| e.to_string())?;
-            let running = start(order).await.map_err(|e| e.to_string())?;
+            let anew = reload::word().map_err(|e| e.to_string())?;
+            let running = start(Order::from_env()?).await.map_err(|e| e.to_string())?;
+            actix_rt::spawn(reload::follow(anew, running.discovery.clone()));
             leave.recv().await;
             running.leave().await;
             Ok(())
--- a/crates/broker/src/roll.rs
+++ b/crates/broker/src/roll.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tracing::warn;
 
 /// Nodes as discovery lists them: all, or those that changed.
@@ -54,15 +55,26 @@
     }
 }
 
-/// Each time that the desk asks for it, follows the roll until a call fails, and says so.
-pub async fn follow(desk: Rc<Desk>, limits: Rc<Limits>, discovery: SocketAddr) {
+/// Each time that the desk asks for it, follows the roll until a call fails, and says so. Where discovery has
+/// moved, the old watch is dropped and the new place is asked for all nodes at once.
+pub async fn follow(desk: Rc<Desk>, limits: Rc<Limits>, mut discovery: watch::Receiver<SocketAddr>) {
     // Its own time-out is shorter than a watch; each call below has one that fits it.
     let client = Client::builder().disable_timeout().disable_redirects().finish();
     loop {
-        desk.roll_wanted.notified().await;
-        let Err(why) = watch(&desk, &limits, &client, discovery).await;
-        warn!("the roll is not followed, the old one holds: {why}");
-        desk.roll_failed();
+        tokio::select! {
+            () = desk.roll_wanted.notified() => {}
+            Ok(()) = discovery.changed() => {}
+        }
+        loop {
+            let place = *discovery.borrow_and_update();
+            tokio::select! {
+                Err(why) = watch(&desk, &limits, &client, place) => {
+                    warn!("the roll is not followed, the old one holds: {why}");
+                    break desk.roll_failed();
+                }
+                Ok(()) = discovery.changed() => {}
+            }
+        }
     }
 }
 
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -41,10 +41,20 @@
 impl Order {
     /// Reads EDGE_* and the file that they name; an error is for whoever started the broker.
     pub fn from_env() -> Result<Order, String> {
-        let var = |name: &str| std::env::var(name).ok();
-        let path = var("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
+        Order::read_file(|name| std::env::var(name).ok())
+    }
+
+    /// Reads the file once more, for what a running broker takes over from it: where discovery is now. What
+    /// the environment said of that held for the start.
+    pub fn reread() -> Result<SocketAddr, String> {
+        let order = Order::read_file(|name| std::env::var(name).ok().filter(|_| name != "EDGE_DISCOVERY"));
+        order.map(|order| order.discovery)
+    }
+
+    fn read_file(env: impl Fn(&str) -> Option<String>) -> Result<Order, String> {
+        let path = env("EDGE_CONFIG").ok_or("EDGE_CONFIG is not set")?;
         let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-        Order::read(&text, var).map_err(|e| format!("{path}: {e}"))
+        Order::read(&text, env).map_err(|e| format!("{path}: {e}"))
     }
 
     /// Reads a config file's text. What the environment says of name and addresses comes first.
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -220,6 +220,46 @@
     });
 }
 
+/// SIGHUP ends no broker: where the file names another discovery, that is asked at once, whatever the start
+/// was told, and its list is taken though its revision is lower. A file that can't be used changes nothing.
+#[rstest]
+fn follows_discovery_where_a_new_config_says() {
+    play(async {
+        let mut old = Stage::new(2).await; // its stand-ins serve the program
+        let mut new = Discovery::start().await;
+        let file = std::env::temp_dir().join(format!("barleydrum-{}.json", std::process::id()));
+        let write = |text: String| std::fs::write(&file, text).unwrap();
+        let told = config(&old.nodes, &old.discovery.address.to_string());
+        write(told.to_string());
+        old.discovery.called().await;
+        let program = Program::start(&file, &old.discovery.address.to_string());
+        assert_eq!(old.discovery.called().await, "/catalog/members");
+        for _ in 0..2 {
+            old.discovery.reply(json!({"revision": 41, "complete": true, "members": []}));
+            assert_eq!(old.discovery.called().await, "/catalog/members?after=41&wait_ms=5000");
+        }
+        for unusable in ["{\"name\":", "{}", &told.to_string().replace("\"discovery\":", "\"else\":")] {
+            write(unusable.to_owned());
+            program.signal("HUP");
+            program.says("the new config is not used");
+        }
+        write(config(&old.nodes, &new.address.to_string()).to_string());
+        program.signal("HUP");
+        assert_eq!(new.called().await, "/catalog/members");
+        new.reply(json!({"revision": 3, "complete": true, "members": [member(&old.nodes, 1, "ready")]}));
+        assert_eq!(new.called().await, "/catalog/members?after=3&wait_ms=5000");
+        let mut client = Client::to(program.listens).await;
+        client.write(&request("a", "lookup", 9000, &body(ONE))).await;
+        let (node, line, _) = old.call().await;
+        assert_eq!(node, 1);
+        old.nodes[node].end(line, "a.3", 'S', "v").await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
+        program.signal("TERM");
+        program.says("left");
+        std::fs::remove_file(&file).unwrap();
+    });
+}
+
 /// A silent discovery is asked anew; one that only keeps a watch waiting, as it was told to, is waited for.
 #[rstest]
 fn tells_a_long_watch_from_silence() {
--- a/crates/broker/tests/sockets/stand_ins.rs
+++ b/crates/broker/tests/sockets/stand_ins.rs
@@ -123,7 +123,7 @@
 }
 
 impl Discovery {
-    async fn start() -> Discovery {
+    pub async fn start() -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (tell, calls) = mpsc::unbounded_channel();
@@ -261,6 +261,53 @@
     }
 }
 
+/// The program itself, as a process of its own.
+pub struct Program {
+    pub listens: SocketAddr,
+    child: std::process::Child,
+    log: RefCell<std::io::BufReader<std::process::ChildStderr>>,
+}
+
+impl Program {
+    /// With a config file, and a discovery that the environment names.
+    pub fn start(config: &std::path::Path, discovery: &str) -> Program {
+        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_barleydrum"))
+            .env("EDGE_CONFIG", config)
+            .env("EDGE_DISCOVERY", discovery)
+            .stderr(std::process::Stdio::piped())
+            .spawn()
+            .unwrap();
+        let log = RefCell::new(std::io::BufReader::new(child.stderr.take().unwrap()));
+        let mut program = Program { listens: SocketAddr::from(([127, 0, 0, 1], 0)), child, log };
+        program.listens = program.says("serves on ").parse().unwrap();
+        program
+    }
+
+    pub fn signal(&self, name: &str) {
+        let (signal, id) = (format!("-{name}"), self.child.id().to_string());
+        assert!(std::process::Command::new("kill").args([signal, id]).status().unwrap().success());
+    }
+
+    /// Reads the log up to a line with these words; what follows them on it.
+    pub fn says(&self, words: &str) -> String {
+        let mut line = String::new();
+        while std::io::BufRead::read_line(&mut *self.log.borrow_mut(), &mut line).unwrap() > 0 {
+            if let Some((_, after)) = line.split_once(words) {
+                return after.trim().to_owned();
+            }
+            line.clear();
+        }
+        panic!("the program ended without saying `{words}`");
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
 pub fn body(slices: &[(u32, f64)]) -> String {
     let slices: Vec<Value> =
         slices.iter().map(|(slice, mass)| json!({"slice": slice, "mass": mass})).collect();
