One lost connection no longer makes a node count as cold; overtaken parts are copied

A probe that logged each push's end showed 213 Dropped in 20 s at sound nodes (bad frames on which the broker closes, resets, connections closed after an answer), and Full right after them elsewhere. At fault: learn() took every dropped connection for a fallen process ( = now), so for the whole warm-up a sound node got a cold one's share (has_room). Now a node counts as started anew only when it refuses the connection after another failure; a process that died refuses the next push too. Harm: one that died and came back between two pushes is found by the roll only.

Now a part is also copied when one sent later by an average latency was answered. Where copies are not allowed it is withdrawn first; those that must not run twice stay out.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -293,8 +293,7 @@
                 let part = &mut r.parts[at];
                 sent += part.weight;
                 if part.stage == PartStage::Unsent && (count == 0 || !r.scouting) {
-                    part.stage = PartStage::Wanted;
-                    self.s.wanted.push(part.id);
+                    self.s.want(part);
                 }
             }
         }
@@ -354,9 +353,8 @@
     fn give_up(&mut self, r: &mut Retrieval) {
         if self.kills(r) {
             self.s.barred.insert(r.question(), self.s.now + self.row(r).cut_off);
-            self.s
-                .effects
-                .push(Effect::Say(format!("barred: {} nodes fell with a retrieval", r.fallen.len())));
+            let word = format!("barred: {} nodes fell with a retrieval", r.fallen.len());
+            self.s.effects.push(Effect::Say(word));
         }
         let (limits, goal) = (&self.prescription.limits, self.row(r).goal);
         let mut fates = r.parts.iter().flat_map(|p| &p.pushes).map(|push| push.fate);
@@ -437,8 +435,7 @@
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         let patience = self.average().times(PATIENCE).max(low).min(high);
-        let looked_after = self.prescription.limits.copies || r.scouting;
-        self.s.agenda.extend(looked_after.then_some((now + patience, Due::Look(id, no))));
+        self.s.agenda.insert((now + patience, Due::Look(id, no)));
     }
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
@@ -487,25 +484,30 @@
         self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
     }
 
-    /// Guards against nodes that take parts and do not answer, whatever the reason (hung, silent,
-    /// standing still, cut off): once patience is up, the node has answered nothing since, and another
-    /// holder looks faster than its silence, the part is pushed there too. Where copies are not allowed
-    /// it waits: a withdrawal loses the answer and stops no work. Harm: work done twice.
+    /// Guards against parts that no answer comes to (a node hung, silent or cut off, an answer lost, a connection
+    /// gone dead): once patience is up, the node has answered nothing since, or one sent later by an average
+    /// latency, and another holder looks faster than the wait, the part is pushed there too. Without copies an
+    /// overtaken one is withdrawn first, others wait: that loses the answer and stops no work. Harm: work twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
-        let push = &r.parts[at].pushes[no.0 as usize];
+        let (push, now, average) = (&r.parts[at].pushes[no.0 as usize], self.s.now, self.average());
         let waits = r.parts[at].stage == PartStage::Out && !r.parts[at].flowing;
         if r.stage == Asking && waits && push.fate == Fate::Out {
             let node = self.s.nodes.get(&push.node);
-            let silent = node.is_none_or(|n| n.heard_at <= push.sent);
-            let here = node.map_or(self.average(), |n| self.latency(n));
-            let alone = silent && r.parts[at].out() == 1 && self.prescription.limits.copies;
-            let again = alone && self.may_push_again(&r, at, true);
+            let overtaken = node.is_some_and(|n| n.answered > push.sent + average);
+            let lost = overtaken || node.is_none_or(|n| n.heard_at <= push.sent);
+            let here = node.map_or(average, |n| self.latency(n)).max(now - push.sent);
+            let copies = self.prescription.limits.copies;
+            let may = copies || overtaken && self.prescription.limits.may_withdraw;
+            let again = lost && may && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
             let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
-            let faster = elsewhere.is_some_and(|there| there < here && self.s.now + there < r.goal_at);
+            let faster = elsewhere.is_some_and(|there| there < here && now + there < r.goal_at);
             if again && faster && self.further_left() {
-                r.parts[at].stage = PartStage::Wanted;
-                self.s.wanted.push(id);
+                if copies {
+                    self.s.want(&mut r.parts[at]);
+                } else {
+                    self.s.effects.push(Effect::Withdraw { part: id, push: no });
+                }
             } else {
                 self.later(r.goal, Due::Look(id, no));
                 if r.scouting {
@@ -542,12 +544,9 @@
         }
         let Some((mut r, at)) = self.s.lift(outcome.part) else { return };
         let (rid, was) = (r.id, r.parts[at].stage);
-        if outcome.end == PushEnd::Dropped && ticket.is_some_and(|t| !t.on_kept_line()) {
-            r.fallen.insert(outcome.node);
-        }
-        if let Some(push) = r.parts[at].pushes.get_mut(outcome.push.0 as usize) {
-            push.fate = end.1;
-        }
+        let fell = outcome.end == PushEnd::Dropped && ticket.is_some_and(|t| !t.on_kept_line());
+        r.fallen.extend(fell.then_some(outcome.node));
+        r.parts[at].pushes.get_mut(outcome.push.0 as usize).into_iter().for_each(|push| push.fate = end.1);
         let again = r.stage == Asking && self.may_push_again(&r, at, false);
         let stage = match outcome.end {
             end if was == PartStage::In || end == PushEnd::Finished => PartStage::In,
@@ -601,9 +600,11 @@
             (node.latency, node.sampled_at) = (Some(old + (sample - old).times(NEWEST)), now);
             if outcome.end == PushEnd::Finished {
                 (node.failures, node.heard_at) = (0, now);
+                node.answered = node.answered.max(now - outcome.took);
             }
-            if down {
-                // It may come back cold before the roll says so: taken to start when last seen down.
+            // It may come back cold before the roll says so: taken to start when last seen down. One lost
+            // connection is not enough, or resets would starve sound nodes: a fallen one refuses the next.
+            if down && fate == Fate::NeverRan && node.failures > 1 {
                 node.started = node.started.max(Some(now));
             }
         });
@@ -727,8 +728,7 @@
         let [all, within] = self.s.pressure.each_ref().map(|g| g.share(self.s.now, SPAN, 1.0 / START));
         let pressure = if within_share { within } else { within.max(all) };
         let cutting = pressure > START;
-        if cutting != self.s.cutting {
-            self.s.cutting = cutting;
+        if std::mem::replace(&mut self.s.cutting, cutting) != cutting {
             let word = if cutting { "light parts stay unsent" } else { "all parts are sent again" };
             self.s.effects.push(Effect::Say(format!("pressure {pressure:.2}: {word}")));
         }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -143,6 +143,8 @@
     pub latency: Option<Tenths>,
     pub sampled_at: Tenths,
     pub heard_at: Tenths,
+    /// When the newest push that it answered was sent.
+    pub answered: Tenths,
     /// Failures in a row.
     pub failures: u32,
     pub failed_at: Tenths,
@@ -397,6 +399,12 @@
         self.retrievals.insert(r.id, r);
     }
 
+    /// A part is to be sent this turn.
+    pub fn want(&mut self, part: &mut Part) {
+        part.stage = PartStage::Wanted;
+        self.wanted.push(part.id);
+    }
+
     /// Takes the retrieval of a part out, to be put back; with the part's place in it.
     pub fn lift(&mut self, part: PartId) -> Option<(Retrieval, usize)> {
         let (id, at) = *self.parts.get(&part)?;
