Spoilt answers end as errors at once; connections that fell silent get no more

At fault in nodes.rs: read() told what was out on a bad frame as Dropped, as if the process had fallen; it skipped an answer under an unknown id and waited for ever for the rest of a short frame, so their parts waited for time-outs; line_for() put new parts on the oldest connection even when nothing had come on it for long. In frame.rs a report with a blank in it spoilt a good answer.

Now: what was out beside a spoilt answer ends as an error (it may have run); an unknown id is one unless it was given up (remembered, bounded by limits); a frame must be whole in half of the connect time; an answer with bytes behind it is held until they prove to be a frame, else only kept when nothing more is due and they are no text; a connection unheard for the connect time after a call gets no more.

--- a/crates/broker/src/frame.rs
+++ b/crates/broker/src/frame.rs
@@ -105,12 +105,18 @@
     }
 }
 
-/// Reads `ID END SCORE REPORT`, a line feed, and the value.
+/// Whether these bytes might be the end of a value.
+pub fn is_text(bytes: &[u8]) -> bool {
+    std::str::from_utf8(bytes).is_ok_and(|text| !text.contains(char::is_control))
+}
+
+/// Reads `ID END SCORE REPORT`, a line feed, and the value. No decision reads the report: one that can't be
+/// read does not spoil the value that it came with.
 fn ended(mut rest: Bytes) -> Option<FromNode> {
     let line_end = rest.iter().position(|byte| *byte == b'\n')?;
     let line = rest.split_to(line_end);
     rest.advance(1);
-    let fields: Vec<&[u8]> = line.split(|byte| *byte == b' ').collect();
+    let fields: Vec<&[u8]> = line.splitn(4, |byte| *byte == b' ').collect();
     let [id, end, _score, _report] = fields[..] else { return None };
     let end = match end {
         b"S" => PushEnd::Finished,
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -33,6 +33,12 @@
     pub call_parts: usize,
     pub line_parts: usize,
     pub connect: Duration,
+    /// A frame that was begun must be whole by twice that.
+    pub half_frame: Duration,
+    /// A connection on which nothing came for so long after a call was written gets no more.
+    pub unheard: Duration,
+    /// Parts given up on one connection of which a late answer is told from a wrong one.
+    pub late_answers: usize,
     /// A push of which nothing was written by then is taken back.
     pub unsent: Tenths,
     /// A connection to a node is closed when it stood idle for so long.
@@ -92,6 +98,9 @@
             call_parts: (p.layout.per_call.max(1) as usize).min(line_parts),
             line_parts,
             connect: span(connect),
+            half_frame: span(connect) / 4,
+            unheard: span(connect),
+            late_answers: 8 * line_parts,
             unsent: connect + p.period,
             node_idle: idle.mul_f64(0.8),
             slow: Duration::from_secs(5),
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -1,6 +1,6 @@
 //! Connections to nodes. Sends the calls it is handed, and tells of each push exactly one end.
 
-use crate::frame::{BadFrame, CalledPart, Frames, FromNode, ToNode};
+use crate::frame::{BadFrame, CalledPart, Frames, FromNode, ToNode, is_text};
 use crate::limits::Limits;
 use barleydrum::{NodeId, PartId, PushEnd, PushNo};
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::Notify;
@@ -58,8 +59,16 @@
     /// Pushes that are out on it, by the id that the wire knows them by.
     out: RefCell<HashMap<Bytes, Out>>,
     queue: RefCell<VecDeque<Queued>>,
+    /// An answer behind which more has come that is not known to be a frame yet.
+    held: RefCell<Option<(PushId, PushEnd, Bytes)>>,
+    /// What was given up on it and may still be answered, the newest last.
+    given_up: RefCell<VecDeque<Bytes>>,
+    /// So much was given up that not all of it is remembered.
+    forgot: Cell<bool>,
     ring: Notify,
     idle_since: Cell<Instant>,
+    /// Since when the node owes the first word to what was written.
+    unheard_since: Cell<Option<Instant>>,
     /// Nothing more is put on it; it closes once nothing is out.
     closing: Cell<bool>,
 }
@@ -126,7 +135,10 @@
         for Sending { push, part } in call {
             let before = line.out.borrow_mut().insert(part.id.clone(), Out { push, written: Written::Not });
             // The same part again on one connection: what is heard from now on is the newer push's.
-            before.into_iter().for_each(|before| self.end(before.push, PushEnd::Dropped, None));
+            if let Some(before) = before {
+                line.note_given_up(part.id.clone(), self.limits.late_answers);
+                self.end(before.push, PushEnd::Dropped, None);
+            }
             self.pushes.borrow_mut().insert(push, (line.clone(), part.id.clone()));
             parts.push(part);
         }
@@ -143,6 +155,7 @@
         }
         line.queue.borrow_mut().push_back(Queued::GiveUp(id.clone()));
         line.out.borrow_mut().remove(&id);
+        line.note_given_up(id, self.limits.late_answers);
         line.idle_since.set(Instant::now());
         line.ring.notify_one();
         self.end(push, end, None);
@@ -190,6 +203,10 @@
         let open: Vec<Rc<Line>> = {
             let lines = self.lines.borrow();
             let lines = lines.get(&node).into_iter().flatten();
+            // Guards against connections that fell silent without a word: what is put on them is lost, while the
+            // node may serve on others. Where it is the node that is silent, a new one costs a handshake.
+            let silent = |line: &&Rc<Line>| line.is_silent(self.limits.unheard);
+            lines.clone().filter(silent).for_each(|line| line.close());
             lines.filter(|line| !line.closing.get() && line.address == address).cloned().collect()
         };
         let fits = |line: &&Rc<Line>| {
@@ -215,8 +232,12 @@
             address,
             out: RefCell::default(),
             queue: RefCell::default(),
+            held: RefCell::default(),
+            given_up: RefCell::default(),
+            forgot: Cell::default(),
             ring: Notify::new(),
             idle_since: Cell::new(Instant::now()),
+            unheard_since: Cell::default(),
             closing: Cell::new(false),
         });
         self.lines.borrow_mut().entry(node).or_default().push(line.clone());
@@ -226,6 +247,7 @@
 
     /// The life of one connection, to its end.
     async fn live(self: Rc<Self>, line: Rc<Line>) {
+        let mut spoilt = false;
         match timeout(self.limits.connect, TcpStream::connect(line.address)).await {
             Ok(Ok(mut stream)) => {
                 if let Err(e) = stream.set_nodelay(true) {
@@ -233,15 +255,16 @@
                 }
                 line.idle_since.set(Instant::now());
                 let (reading, writing) = stream.split();
-                tokio::select! {
-                    () = self.read(&line, reading) => {}
-                    () = self.write(&line, writing) => {}
+                spoilt = tokio::select! {
+                    spoilt = self.read(&line, reading) => spoilt,
+                    () = self.write(&line, writing) => false,
                 }
             }
             Ok(Err(e)) => debug!(node = %line.address, "no connection: {e}"),
             Err(_) => debug!(node = %line.address, "no connection in time"),
         }
         line.closing.set(true);
+        self.let_go(&line, true);
         self.lines.borrow_mut().retain(|_, lines| {
             lines.retain(|other| !Rc::ptr_eq(other, &line));
             !lines.is_empty()
@@ -249,33 +272,97 @@
         let mut lost: Vec<Out> = line.out.take().into_values().collect();
         lost.sort_by_key(|out| out.push);
         for out in lost {
-            let never_ran = out.written != Written::Whole;
-            self.end(out.push, if never_ran { PushEnd::NoConnection } else { PushEnd::Dropped }, None);
+            // Guards against a node that writes noise and is taken for one that fell: its process runs.
+            let end = match out.written {
+                Written::Whole if spoilt => PushEnd::Errored,
+                Written::Whole => PushEnd::Dropped,
+                Written::Not | Written::Partly => PushEnd::NoConnection,
+            };
+            self.end(out.push, end, None);
         }
     }
 
-    /// Reads until the node ends the connection, or sends what can't be read.
-    async fn read(&self, line: &Line, reading: ReadHalf<'_>) {
+    /// Reads until the node ends the connection, or sends what can't be used: then nothing more that comes on
+    /// it can be told apart, and what is out on it may have run. Tells whether that was so.
+    async fn read(&self, line: &Line, reading: ReadHalf<'_>) -> bool {
         let mut frames = FramedRead::new(reading, Frames { most: self.limits.frame });
-        while let Some(frame) = frames.next().await {
+        let mut begun = false;
+        loop {
+            let frame = match timeout(self.limits.half_frame, frames.next()).await {
+                Ok(frame) => frame,
+                // Guards against a length that promises more than comes: the parts out would wait for it.
+                Err(_) if begun && !frames.read_buffer().is_empty() => {
+                    warn!(node = %line.address, "connection closed on a frame that does not end");
+                    self.let_go(line, is_text(frames.read_buffer()));
+                    return true;
+                }
+                Err(_) => {
+                    begun = !frames.read_buffer().is_empty();
+                    continue;
+                }
+            };
+            begun = false;
             line.idle_since.set(Instant::now());
+            line.unheard_since.take();
+            let behind_is_text = is_text(frames.read_buffer());
+            let framed = !matches!(frame, None | Some(Err(BadFrame::Size(_) | BadFrame::Io(_))));
+            match framed {
+                true => self.keep(line),
+                false => self.let_go(line, behind_is_text),
+            }
             match frame {
-                Ok(FromNode::Ended { id, end, value }) => {
-                    // One that was given up may still answer; then nobody waits for it.
-                    let Some(out) = line.out.borrow_mut().remove(&id) else { continue };
-                    line.ring.notify_one();
-                    self.end(out.push, end, (end == PushEnd::Finished).then_some(value));
+                Some(Ok(FromNode::Ended { id, end, value })) => {
+                    let out = line.out.borrow_mut().remove(&id);
+                    match out {
+                        Some(out) => {
+                            line.ring.notify_one();
+                            line.held.replace(Some((out.push, end, value)));
+                            if frames.read_buffer().is_empty() {
+                                self.keep(line);
+                            }
+                        }
+                        // One that was given up may still answer; then nobody waits for it.
+                        None if line.was_given_up(&id) => {}
+                        // Guards against answers under a wrong id: the part that was meant would wait.
+                        None => {
+                            warn!(node = %line.address, "connection closed on an answer that none waits for");
+                            return true;
+                        }
+                    }
                 }
-                Ok(FromNode::Aside) => {}
-                Ok(FromNode::Unusable(words)) => {
-                    return warn!(node = %line.address, "the node closes: {words}");
+                Some(Ok(FromNode::Aside)) => {}
+                Some(Ok(FromNode::Unusable(words))) => {
+                    warn!(node = %line.address, "the node closes: {words}");
+                    return true;
                 }
-                Err(BadFrame::Io(e)) => return debug!(node = %line.address, "connection broke: {e}"),
-                Err(e) => return warn!(node = %line.address, "connection closed on a bad frame: {e}"),
+                Some(Err(BadFrame::Io(e))) => {
+                    debug!(node = %line.address, "connection broke: {e}");
+                    return false;
+                }
+                Some(Err(e)) => {
+                    warn!(node = %line.address, "connection closed on a bad frame: {e}");
+                    return true;
+                }
+                None => return false,
             }
         }
     }
 
+    /// Ends the push whose answer is held with that answer.
+    fn keep(&self, line: &Line) {
+        let Some((push, end, value)) = line.held.take() else { return };
+        self.end(push, end, (end == PushEnd::Finished).then_some(value));
+    }
+
+    /// Guards against a value that is cut, or swollen by the head of the next answer: its length was wrong, and
+    /// what comes behind is no frame. Noise behind the last answer due takes nothing from that.
+    fn let_go(&self, line: &Line, behind_is_text: bool) {
+        if line.out.borrow().is_empty() && !behind_is_text {
+            return self.keep(line);
+        }
+        line.held.take().into_iter().for_each(|(push, ..)| self.end(push, PushEnd::Errored, None));
+    }
+
     /// Writes what is queued, until the peer takes nothing more or the connection has been idle too long.
     async fn write(&self, line: &Line, writing: WriteHalf<'_>) {
         let mut frames = FramedWrite::new(writing, Frames { most: self.limits.frame });
@@ -306,7 +393,11 @@
             };
             line.mark(&ids, Written::Partly);
             match timeout(self.limits.slow, frames.send(frame)).await {
-                Ok(Ok(())) => line.mark(&ids, Written::Whole),
+                Ok(Ok(())) => {
+                    line.mark(&ids, Written::Whole);
+                    let since = line.unheard_since.get().unwrap_or_else(Instant::now);
+                    line.unheard_since.set((!ids.is_empty()).then_some(since).or(line.unheard_since.get()));
+                }
                 Ok(Err(e)) => return debug!(node = %line.address, "connection broke: {e}"),
                 Err(_) => return warn!(node = %line.address, "the node takes nothing"),
             }
@@ -320,6 +411,27 @@
         self.out.borrow().is_empty() && self.queue.borrow().is_empty()
     }
 
+    /// Remembers up to `most` of what was given up.
+    fn note_given_up(&self, id: Bytes, most: usize) {
+        let mut given_up = self.given_up.borrow_mut();
+        given_up.push_back(id);
+        if given_up.len() > most {
+            given_up.pop_front();
+            self.forgot.set(true);
+        }
+    }
+
+    /// Whether that was given up, as far as it is remembered; each is answered once at the most.
+    fn was_given_up(&self, id: &Bytes) -> bool {
+        let mut given_up = self.given_up.borrow_mut();
+        let at = given_up.iter().position(|given_up| given_up == id);
+        at.inspect(|at| _ = given_up.remove(*at)).is_some() || self.forgot.get()
+    }
+
+    fn is_silent(&self, longest: Duration) -> bool {
+        self.unheard_since.get().is_some_and(|since| since.elapsed() > longest)
+    }
+
     fn close(&self) {
         self.closing.set(true);
         self.ring.notify_one();
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -151,6 +151,80 @@
     });
 }
 
+/// What can't be told apart any more is given up with all that is out beside it, and had elsewhere: nothing that
+/// may be cut or swollen is passed on, and nothing waits for its time-out.
+#[rstest]
+#[case::not_a_length(framed(b"", 0))]
+#[case::a_length_that_promises_more(framed(b"5a.3 S 7 -\nbad", 40))]
+#[case::an_id_that_none_waits_for(framed(b"5b.3 S 7 -\nbad", 0))]
+#[case::no_end(framed(b"5a.3 S 7 -", 0))]
+#[case::swollen([framed(b"5a.3 S 7 -\nbad", 1), framed(b"5a.9 S 7 -\nbad", 0)].concat())]
+#[case::cut(framed(b"5a.3 S 7 -\nbad", -1))]
+#[case::noise_behind_while_more_is_out([framed(b"5a.3 S 7 -\nbad", 0), vec![0xff; 5]].concat())]
+fn has_elsewhere_what_came_spoilt(#[case] bytes: Vec<u8>) {
+    play(async {
+        let soon = |order: &mut Order| order.limits.half_frame = Duration::from_millis(50);
+        let mut stage = Stage::with(2, |_| (), soon).await;
+        let mut client = stage.ask("a", "lookup", BOTH).await;
+        let (first, line, parts) = stage.call().await;
+        assert_eq!(parts.len(), 2);
+        let began = Instant::now();
+        stage.nodes[first].write(line, &bytes).await;
+        let mut told = 0;
+        while told < 2 {
+            let (node, line, Heard::Call(parts)) = stage.next().await else { continue };
+            assert_ne!(node, first);
+            for part in parts {
+                told += 1;
+                stage.nodes[node].end(line, &part.id, 'S', "good").await;
+            }
+        }
+        let reply = client.reply().await.unwrap();
+        assert!(began.elapsed() < Duration::from_secs(2), "that was patience");
+        assert!(reply.status == 200 && !reply.body.contains("bad"), "{reply:?}");
+    });
+}
+
+/// A connection on which nothing came for long enough after a call gets no more: the next call goes on another,
+/// and what comes on the first all the same still counts.
+#[rstest]
+fn puts_nothing_more_on_a_connection_that_fell_silent() {
+    play(async {
+        let soon = |order: &mut Order| order.limits.unheard = Duration::from_millis(100);
+        let mut stage = Stage::with(1, |_| (), soon).await;
+        let mut first = stage.ask("a", "lookup", ONE).await;
+        let (_, silent, _) = stage.call().await;
+        pause(200).await;
+        let mut second = stage.ask("b", "lookup", ONE).await;
+        let (_, line, _) = stage.call().await;
+        assert_ne!(line, silent);
+        stage.nodes[0].end(line, "b.3", 'S', "v").await;
+        assert_eq!(second.reply().await.unwrap().status, 200);
+        stage.nodes[0].end(silent, "a.3", 'S', "v").await;
+        assert_eq!(first.reply().await.unwrap().status, 200);
+    });
+}
+
+/// A good answer stays good, whatever report it brings and whatever comes behind it when none else is due.
+#[rstest]
+#[case("%%% 7", vec![])]
+#[case("-", framed(b"5a.3 S 7 -\nv", 0))]
+#[case("-", vec![0xff; 5])]
+fn keeps_a_good_answer(#[case] report: &str, #[case] behind: Vec<u8>) {
+    play(async {
+        let mut stage = Stage::new(2).await;
+        let mut client = stage.ask("a", "once", ONE).await;
+        let (node, line, _) = stage.call().await;
+        let good = framed(format!("5a.3 S 7 {report}\nv").as_bytes(), 0);
+        stage.nodes[node].write(line, &[&good[..], &behind].concat()).await;
+        let reply = client.reply().await.unwrap();
+        assert!(reply.status == 200 && reply.body.contains("\"v\""), "{reply:?}");
+        if !behind.is_empty() {
+            assert_eq!(stage.next().await, (node, line, Heard::Closed));
+        }
+    });
+}
+
 /// A refused connection proves that nothing ran: even what may run at most once goes elsewhere.
 #[rstest]
 fn goes_elsewhere_when_a_node_refuses() {
--- a/crates/broker/tests/sockets/stand_ins.rs
+++ b/crates/broker/tests/sockets/stand_ins.rs
@@ -84,8 +84,7 @@
     /// Ends a part, as `S`, `E` or `B`.
     pub async fn end(&self, line: usize, id: &str, end: char, value: &str) {
         let rest = format!("5{id} {end} 77 queue=3,qps=1.5\n{value}");
-        let frame = [&(rest.len() as u32).to_le_bytes()[..], rest.as_bytes()].concat();
-        self.write(line, &frame).await;
+        self.write(line, &framed(rest.as_bytes(), 0)).await;
     }
 
     pub fn close(&self, line: usize) {
@@ -93,6 +92,11 @@
     }
 }
 
+/// A frame whose length is told as so many bytes more than there are.
+pub fn framed(rest: &[u8], more: i32) -> Vec<u8> {
+    [&(rest.len() as i32 + more).to_le_bytes()[..], rest].concat()
+}
+
 async fn hear(from: &mut (impl AsyncReadExt + Unpin)) -> Option<Heard> {
     let mut frame = vec![0; from.read_u32_le().await.ok()? as usize];
     from.read_exact(&mut frame).await.ok()?;
