A node that answered nothing for as long as patience lasts has its parts copied

A probe of pushes and ends told that six of thirteen nodes lost a fifth of their answers; each had answered other parts within 30 ms after the lost one was sent, and then nothing for 400 ms, since what is out there keeps new parts away. At fault: look_after() took any answer heard after the push as a sign of life, for ever. Excluded: the budget for further pushes (a tenth used), holders (others of the part took 40 ms). Now the silence that counts is the node's since it was last heard, as long as patience. Harm: on overload slow nodes are copied from sooner.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -28,7 +28,7 @@
 const GUESS: f64 = 0.125;
 /// Patience with a push, in average latencies, and its bounds (the lower for room too) in goal times.
 const PATIENCE: f64 = 3.0;
-const PATIENCE_BOUNDS: (f64, f64) = (0.2, 0.5);
+const PATIENCE_BOUNDS: [f64; 2] = [0.2, 0.5];
 /// Single parts spread this far about a smoothed latency; past the goal time they are out of reach.
 const SPREAD: f64 = 1.5;
 /// A waiting part tries again after this share of its goal time, the roll after one of its silence.
@@ -189,10 +189,7 @@
             act(self, &mut r);
         }
         match r.stage {
-            Over => {
-                self.s.withdraw_all(&r, self.prescription.limits.may_withdraw);
-                self.s.let_go(&r);
-            }
+            Over => self.s.let_go(&r, self.prescription.limits.may_withdraw),
             Answered => {
                 self.s.put(r);
                 self.signal(id, Said);
@@ -258,7 +255,7 @@
     fn may_wait(&mut self, r: &Retrieval) -> bool {
         let line = ((self.s.waiting.len() + 1) * r.parts.len()) as f64;
         let short = self.s.waiting.contains(&r.id) || line <= self.s.room;
-        short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - PATIENCE_BOUNDS.0) && self.no_room(r)
+        short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - PATIENCE_BOUNDS[0]) && self.no_room(r)
     }
 
     /// The room for what pays so much for each part that it sends.
@@ -343,9 +340,7 @@
     }
 
     fn clear_parts(&mut self, r: &mut Retrieval) {
-        self.s.withdraw_all(r, self.prescription.limits.may_withdraw);
-        self.s.drop_parts(r);
-        r.fallen.clear();
+        self.s.drop_parts(r, self.prescription.limits.may_withdraw);
         r.second_step = true;
     }
 
@@ -431,11 +426,14 @@
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
-        let (low, high) = (r.goal.times(PATIENCE_BOUNDS.0), r.goal.times(PATIENCE_BOUNDS.1));
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
-        let patience = self.average().times(PATIENCE).max(low).min(high);
-        self.s.agenda.insert((now + patience, Due::Look(id, no)));
+        self.s.agenda.insert((now + self.patience(r.goal), Due::Look(id, no)));
+    }
+
+    fn patience(&self, goal: Tenths) -> Tenths {
+        let [low, high] = PATIENCE_BOUNDS.map(|bound| goal.times(bound));
+        self.average().times(PATIENCE).clamp(low, high)
     }
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
@@ -468,7 +466,7 @@
         let (now, node) = (self.s.now, &self.s.nodes[&id]);
         let lull = now - node.heard_at;
         let idle = node.calls.is_empty() && node.heard_at > Tenths::ZERO;
-        if !idle || lull < self.shortest_goal().times(PATIENCE_BOUNDS.0) {
+        if !idle || lull < self.shortest_goal().times(PATIENCE_BOUNDS[0]) {
             return node.riding.and(node.line);
         }
         let [kept, fresh] = self.s.lost_lines.each_ref().map(|g| g.share(now, LONG, 1.0 / START));
@@ -485,7 +483,7 @@
     }
 
     /// Guards against parts that no answer comes to (a node hung, silent or cut off, an answer lost, a connection
-    /// gone dead): once patience is up, the node has answered nothing since, or one sent later by an average
+    /// gone dead): once patience is up, the node has answered nothing for as long, or one sent later by an average
     /// latency, and another holder looks faster than the wait, the part is pushed there too. Without copies an
     /// overtaken one is withdrawn first, others wait: that loses the answer and stops no work. Harm: work twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
@@ -495,7 +493,8 @@
         if r.stage == Asking && waits && push.fate == Fate::Out {
             let node = self.s.nodes.get(&push.node);
             let overtaken = node.is_some_and(|n| n.answered > push.sent + average);
-            let lost = overtaken || node.is_none_or(|n| n.heard_at <= push.sent);
+            let heard = node.map_or(push.sent, |n| n.heard_at.max(push.sent));
+            let lost = overtaken || now - heard >= self.patience(r.goal);
             let here = node.map_or(average, |n| self.latency(n)).max(now - push.sent);
             let copies = self.prescription.limits.copies;
             let may = copies || overtaken && self.prescription.limits.may_withdraw;
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -411,7 +411,9 @@
         Some((self.retrievals.remove(&id)?, at))
     }
 
-    pub fn let_go(&mut self, r: &Retrieval) {
+    /// Strikes a retrieval; what it still has out is called off, where that is allowed.
+    pub fn let_go(&mut self, r: &Retrieval, may_withdraw: bool) {
+        self.withdraw_all(r, may_withdraw);
         r.parts.iter().for_each(|part| _ = self.parts.remove(&part.id));
         self.groups.remove(&r.group);
         self.waiting.remove(&r.id);
@@ -419,7 +421,10 @@
         self.agenda.remove(&(r.cut_off_at, Due::CutOff(r.id)));
     }
 
-    pub fn drop_parts(&mut self, r: &mut Retrieval) {
+    /// Strikes a first step's parts, likewise.
+    pub fn drop_parts(&mut self, r: &mut Retrieval, may_withdraw: bool) {
+        self.withdraw_all(r, may_withdraw);
+        r.fallen.clear();
         r.parts.drain(..).for_each(|part| _ = self.parts.remove(&part.id));
     }
 
@@ -540,7 +545,7 @@
     }
 
     /// Calls off all that a retrieval still has out, where that is allowed.
-    pub fn withdraw_all(&mut self, r: &Retrieval, allowed: bool) {
+    fn withdraw_all(&mut self, r: &Retrieval, allowed: bool) {
         for part in r.parts.iter().filter(|part| allowed && !part.flowing) {
             let out = part.pushes.iter().enumerate().filter(|(_, p)| p.fate == Fate::Out);
             let withdraw = |(no, _)| Effect::Withdraw { part: part.id, push: PushNo(no as u16) };
