Clients that are silent, slow or wrong are answered or closed in time, and take no room

Now: first request, whole request and taking the answer have 2 s each; at the bound a connection that said nothing for 100 ms makes room, those that never brought a retrieval first; 48 KiB are counted; heads end at 16 KiB with 431; 413 at the head; what still comes is taken in for a second or 256 KiB; sixteen wrong requests in a row close; the log has a line for each kind, four times a second at the most. Declines at the front's own bounds carry Retry-After where the settings allow it. Clients have two thirds of the descriptors.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -482,10 +482,11 @@
         self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
     }
 
-    /// Guards against parts that no answer comes to (a node hung, silent or cut off, an answer lost, a connection
-    /// gone dead): once patience is up, the node has answered nothing for as long, or one sent later by an average
-    /// latency, and another holder looks faster than the wait, the part is pushed there too. Without copies an
-    /// overtaken one is withdrawn first, others wait: that loses the answer and stops no work. Harm: work twice.
+    /// Guards against parts that no answer comes to (a node hung, silent or cut off, an answer lost, a dead
+    /// connection): once patience is up, the node has answered nothing for as long, or one sent later by an
+    /// average latency, and another holder looks faster than the wait, the part is pushed there too. Without
+    /// copies an overtaken one is withdrawn first, others wait: that loses the answer and stops no work.
+    /// Harm: work done twice.
     fn look_after(&mut self, id: PartId, no: PushNo) {
         let Some((mut r, at)) = self.s.lift(id) else { return };
         let (push, now, average) = (&r.parts[at].pushes[no.0 as usize], self.s.now, self.average());
--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -1,11 +1,11 @@
 //! The HTTP server that clients reach: accepts, routes, and keeps its connections within bounds.
 
-use crate::retrieval::{self, Counter, bad, decline, plain};
+use crate::limits::Limits;
+use crate::retrieval::{self, Counter, decline, plain};
 use actix_http::error::DispatchError;
 use actix_http::header::{ALLOW, HeaderValue};
-use actix_http::{ConnectionType, HttpService, KeepAlive, Method, Request, Response, StatusCode};
+use actix_http::{ConnectionType, HttpService, KeepAlive, Method, Payload, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
-use barleydrum::Tenths;
 use bytes::Bytes;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
@@ -13,70 +13,128 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{Instant, interval, sleep};
+use tokio::time::{Instant, interval, sleep, timeout};
 use tracing::{debug, warn};
 
 /// What is known of one client's connection.
 struct Line {
+    limits: Rc<Limits>,
     /// Accepted beyond the bound: its requests are declined.
     surplus: bool,
     /// A request is being served.
     busy: Cell<bool>,
+    /// Its request is whole: what comes behind it stays unread until it is answered.
+    whole: Cell<bool>,
     /// Since when the beginning of a request has been in hand.
     begun: Cell<Option<Instant>>,
+    /// Bytes that came for the request that is being read.
+    came: Cell<usize>,
     /// Since when the client has not taken all that was written.
     stuck: Cell<Option<Instant>>,
     used: Cell<Instant>,
     served: Cell<bool>,
+    /// A retrieval of its was taken.
+    useful: Cell<bool>,
+    /// Requests in a row that were wrong.
+    wrong: Cell<usize>,
+    /// What it is told beside the HTTP server, before it is let go.
+    last_word: Cell<Option<StatusCode>>,
+    /// Its last answer is on the way.
+    ending: Cell<bool>,
+    /// What comes behind that is no body, which the HTTP server would take in.
+    behind: Cell<bool>,
+    /// Waits to read on.
+    reader: Cell<Option<Waker>>,
     go: Notify,
 }
 
 impl Line {
-    /// Nothing is under way on it. One that is new has `grace` for its first request, which may have been
+    /// Nothing is under way on it. One that is new has a moment for its first request, which may have been
     /// written already.
-    fn is_idle(&self, grace: Duration) -> bool {
+    fn is_idle(&self) -> bool {
         let at_rest = !self.busy.get() && self.begun.get().is_none() && self.stuck.get().is_none();
-        at_rest && (self.served.get() || self.used.get().elapsed() > grace)
+        at_rest && (self.served.get() || self.used.get().elapsed() > self.limits.first_moment)
+    }
+
+    fn end(&self, last_word: Option<StatusCode>) {
+        self.last_word.set(last_word);
+        self.go.notify_one();
+    }
+
+    /// Whether more may be read of the request in hand; one that is too long in spite of that is ended. The
+    /// HTTP server reads on and on before it looks at what came.
+    fn has_room(&self, cx: &Context) -> bool {
+        let most = match (self.ending.get(), self.busy.get()) {
+            (true, _) => return self.came.get() < self.limits.linger_bytes,
+            (false, true) => self.limits.body_on_wire,
+            (false, false) => self.limits.head,
+        };
+        if self.came.get() < most {
+            return true;
+        }
+        // It looks at what came before it asks again; then either a head was whole, or it is too long.
+        if self.came.replace(usize::MAX) == usize::MAX {
+            let status = if self.busy.get() { 413 } else { 431 };
+            self.end(StatusCode::from_u16(status).ok());
+        } else {
+            cx.waker().wake_by_ref();
+        }
+        false
     }
 }
 
 /// A client's socket, watched.
 struct Watched {
-    stream: TcpStream,
+    stream: Rc<RefCell<TcpStream>>,
     line: Rc<Line>,
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
+        let (line, mut stream) = (&self.line, self.stream.borrow_mut());
+        if line.whole.get() {
+            // Guards against floods on one connection: but for the close, nothing more is heard of it now.
+            let mut byte = [0];
+            if ready!(stream.poll_peek(cx, &mut ReadBuf::new(&mut byte)))? == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            line.reader.set(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        if !line.has_room(cx) {
+            return Poll::Pending;
+        }
         let before = into.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(cx, into))?;
-        if into.filled().len() > before && !self.line.busy.get() {
-            self.line.begun.set(self.line.begun.get().or(Some(Instant::now())));
+        ready!(Pin::new(&mut *stream).poll_read(cx, into))?;
+        let more = into.filled().len() - before;
+        line.came.set(line.came.get().saturating_add(more));
+        if more > 0 && !line.busy.get() {
+            line.begun.set(line.begun.get().or(Some(Instant::now())));
         }
         Poll::Ready(Ok(()))
     }
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, from);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, from);
         let all = matches!(written, Poll::Ready(Ok(count)) if count == from.len());
         let since = self.line.stuck.get().unwrap_or_else(Instant::now);
         self.line.stuck.set((!all).then_some(since));
         written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
@@ -111,7 +169,8 @@
         let factory = HttpService::build()
             .keep_alive(KeepAlive::Timeout(limits.keep_alive))
             .client_request_timeout(Duration::ZERO) // slow ones are seen to by the sweep
-            .client_disconnect_timeout(limits.slow)
+            // Guards against resets that destroy an answer: an unread body is taken in for a while.
+            .client_disconnect_timeout(limits.linger)
             // A client that closes its side has gone away, and its retrieval is dropped.
             .h1_allow_half_closed(false)
             .on_connect_ext(|io: &Watched, data| _ = data.insert(io.line.clone()))
@@ -140,7 +199,11 @@
                 },
                 () = self.close.notified() => break,
                 () = self.line_ended.notified() => {}
-                _ = sweep.tick() => self.let_slow_go(),
+                () = sleep(limits.first_moment), if !room => {}
+                _ = sweep.tick() => {
+                    self.let_slow_go();
+                    self.counter.wrongs.take().iter().for_each(|line| warn!("{line}"));
+                }
             }
         }
         // Guards against connections that were made and are not known of yet: closing would reset them.
@@ -160,42 +223,86 @@
         if let Err(e) = stream.set_nodelay(true) {
             debug!("no-delay: {e}");
         }
-        let full = self.lines.borrow().len() >= self.counter.limits.client_lines;
+        let limits = self.counter.limits.clone();
+        let full = self.lines.borrow().len() >= limits.client_lines;
         // At the bound the connection that was idle longest makes room; else the new one is declined.
         let made_room = full && self.let_idle_go();
         let line = Rc::new(Line {
+            limits,
             surplus: full && !made_room,
             busy: Cell::default(),
+            whole: Cell::default(),
             begun: Cell::default(),
+            came: Cell::default(),
             stuck: Cell::default(),
             used: Cell::new(Instant::now()),
             served: Cell::default(),
+            useful: Cell::default(),
+            wrong: Cell::default(),
+            last_word: Cell::default(),
+            ending: Cell::default(),
+            behind: Cell::default(),
+            reader: Cell::default(),
             go: Notify::new(),
         });
         self.lines.borrow_mut().push(line.clone());
         actix_rt::spawn(async move {
-            let watched = Watched { stream, line: line.clone() };
-            tokio::select! {
-                ended = service.call((watched, None)) => if let Err(e) = ended {
-                    debug!("a client's connection ended: {e}");
+            let stream = Rc::new(RefCell::new(stream));
+            let watched = Watched { stream: stream.clone(), line: line.clone() };
+            let unread = tokio::select! {
+                ended = service.call((watched, None)) => match ended {
+                    Err(DispatchError::Parse(_)) => {
+                        self.counter.wrongs.note(400, "no request that can be read");
+                        true
+                    }
+                    _ => line.behind.get() && !self.closing.get(),
                 },
-                () = line.go.notified() => {}
+                () = line.go.notified() => line.last_word.get().is_some(),
+            };
+            if let Some(stream) = Rc::into_inner(stream).filter(|_| unread) {
+                self.take_leave(stream.into_inner(), line.last_word.get()).await;
             }
             self.lines.borrow_mut().retain(|other| !Rc::ptr_eq(other, &line));
             self.line_ended.notify_waiters();
         });
     }
 
-    async fn serve(&self, request: Request) -> Response<Bytes> {
+    /// Says the last word, and takes in what still comes, within bounds: closing before that would reset the
+    /// connection, and might destroy what was said.
+    async fn take_leave(&self, mut stream: TcpStream, word: Option<StatusCode>) {
+        let limits = &self.counter.limits;
+        let leave = async {
+            if let Some(status) = word {
+                self.counter.wrongs.note(status.as_u16(), "a request that is too long, or does not come");
+                let head = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+                stream.write_all(head.as_bytes()).await?;
+            }
+            stream.shutdown().await?;
+            let mut rest = stream.take(limits.linger_bytes as u64);
+            tokio::io::copy(&mut rest, &mut tokio::io::sink()).await
+        };
+        // Whatever becomes of it, the connection is over.
+        let _ = timeout(limits.linger, leave).await;
+    }
+
+    async fn serve(&self, mut request: Request) -> Response<Bytes> {
         let Some(line) = request.conn_data::<Rc<Line>>().cloned() else {
             return plain(StatusCode::INTERNAL_SERVER_ERROR, "a connection that is not known\n");
         };
         let arrived = line.begun.take().unwrap_or_else(Instant::now);
+        line.came.set(0);
         let busy = Busy::new(&line);
+        let has_body = !matches!(request.payload(), Payload::None);
         let mut response = self.route(request, &line, arrived).await;
-        if line.surplus || self.closing.get() {
+        line.wrong.set(if response.status().is_client_error() { line.wrong.get() + 1 } else { 0 });
+        // Guards against callers that come with the same again and again: another connection costs them more.
+        let tired = line.wrong.get() >= self.counter.limits.wrong;
+        let unread = has_body && !line.whole.get();
+        if line.surplus || self.closing.get() || tired || unread {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
+        line.ending.set(response.head().connection_type() == ConnectionType::Close);
+        line.behind.set(line.ending.get() && !unread);
         drop(busy);
         response
     }
@@ -204,10 +311,10 @@
         let allowed = match request.path() {
             "/api" => Method::POST,
             "/_health" => Method::GET,
-            _ => return bad(StatusCode::NOT_FOUND, "an unknown path"),
+            _ => return self.counter.bad(StatusCode::NOT_FOUND, "an unknown path"),
         };
         if *request.method() != allowed {
-            let mut response = bad(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted");
+            let mut response = self.counter.bad(StatusCode::METHOD_NOT_ALLOWED, "another method is wanted");
             if let Ok(allowed) = HeaderValue::from_str(allowed.as_str()) {
                 response.headers_mut().insert(ALLOW, allowed);
             }
@@ -215,8 +322,13 @@
         }
         if allowed == Method::POST {
             return match line.surplus {
-                true => decline(Tenths::ZERO),
-                false => retrieval::serve(&self.counter, request, arrived).await,
+                true => decline(self.counter.limits.stay_away),
+                false => {
+                    let whole = || line.whole.set(true);
+                    let response = retrieval::serve(&self.counter, request, arrived, whole).await;
+                    line.useful.set(line.useful.get() || !response.status().is_client_error());
+                    response
+                }
             };
         }
         match self.counter.desk.can_serve() {
@@ -225,22 +337,26 @@
         }
     }
 
-    /// Lets the longest idle connection go; tells whether there was one.
+    /// Lets an idle connection go; tells whether there was one. Those that never brought a retrieval go
+    /// first: who says nothing, or comes again at once with what was refused, takes no one's room.
     fn let_idle_go(&self) -> bool {
         let lines = self.lines.borrow();
-        let idle = lines.iter().filter(|line| line.is_idle(self.counter.limits.sweep));
-        let longest = idle.min_by_key(|line| line.used.get());
-        longest.inspect(|line| line.go.notify_one()).is_some()
+        let idle = lines.iter().filter(|line| line.is_idle());
+        let first = idle.min_by_key(|line| (line.useful.get(), line.used.get()));
+        first.inspect(|line| line.end(None)).is_some()
     }
 
-    /// Guards against clients that send or take a byte now and then and hold their connections.
+    /// Guards against clients that hold their connections: that send or take a byte now and then, or that say
+    /// nothing at all from the start.
     fn let_slow_go(&self) {
-        let now = Instant::now();
+        let (now, slow) = (Instant::now(), self.counter.limits.slow_client);
         for line in self.lines.borrow().iter() {
-            let since = line.begun.get().into_iter().chain(line.stuck.get()).min();
-            if since.is_some_and(|since| now - since > self.counter.limits.slow) {
-                warn!("a client is too slow and let go");
-                line.go.notify_one();
+            let late = |since: Option<Instant>| since.is_some_and(|since| now - since > slow);
+            let silent = !line.served.get() && line.is_idle();
+            if late(line.begun.get()) {
+                line.end(Some(StatusCode::REQUEST_TIMEOUT));
+            } else if late(line.stuck.get()) || silent && late(Some(line.used.get())) {
+                line.end(None);
             }
         }
     }
@@ -256,8 +372,7 @@
             if lines.is_empty() {
                 return;
             }
-            let idle = lines.iter().filter(|line| line.is_idle(self.counter.limits.sweep));
-            idle.for_each(|line| line.go.notify_one());
+            lines.iter().filter(|line| line.is_idle()).for_each(|line| line.end(None));
             tokio::select! {
                 () = ended => {}
                 () = sleep(self.counter.limits.sweep / 10) => self.let_slow_go(),
@@ -284,6 +399,9 @@
 impl Drop for Busy<'_> {
     fn drop(&mut self) {
         self.0.busy.set(false);
+        self.0.whole.set(false);
+        self.0.came.set(0);
+        self.0.reader.take().into_iter().for_each(Waker::wake);
         self.0.used.set(Instant::now());
         self.0.served.set(true);
     }
@@ -306,7 +424,9 @@
             let machine = Machine { memory_mb: 192, sockets: 1024 };
             let limits = Rc::new(Limits::new(machine, &Intake::default()).unwrap());
             let desk = Desk::new(prescription, Vec::new(), 1, limits.clone());
-            let front = Front::new(Counter { desk, names, categories: Vec::new(), shards: 1, limits });
+            let wrongs = Default::default();
+            let front =
+                Front::new(Counter { desk, names, categories: Vec::new(), shards: 1, limits, wrongs });
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             actix_rt::spawn(front.clone().run(listener));
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -30,7 +30,7 @@
 use desk::Desk;
 use front::Front;
 use limits::Limits;
-use retrieval::Counter;
+use retrieval::{Counter, Wrongs};
 use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -38,6 +38,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tracing::{error, info, warn};
+use tracing_subscriber::filter::{LevelFilter, Targets};
+use tracing_subscriber::fmt;
+use tracing_subscriber::prelude::*;
 
 /// A broker that serves.
 pub struct Running {
@@ -63,7 +66,8 @@
     if let Some(known) = order.known {
         desk.hear_roll(RollKind::Remembered, known);
     }
-    let counter = Counter { desk: desk.clone(), names, categories, shards, limits: limits.clone() };
+    let (limits_too, wrongs) = (limits.clone(), Wrongs::default());
+    let counter = Counter { desk: desk.clone(), names, categories, shards, limits: limits_too, wrongs };
     let front = Front::new(counter);
     actix_rt::spawn(desk.clone().run());
     let (discovery, place) = watch::channel(order.discovery);
@@ -75,7 +79,10 @@
 
 /// The program: starts as the environment says, serves until told to leave.
 pub fn run() -> ExitCode {
-    tracing_subscriber::fmt().with_ansi(false).with_writer(io::stderr).with_target(false).init();
+    // The HTTP server would write a line for each bad request; the front sums them up.
+    let told = Targets::new().with_default(LevelFilter::INFO).with_target("actix_http", LevelFilter::OFF);
+    let lines = fmt::layer().with_ansi(false).with_writer(io::stderr).with_target(false);
+    tracing_subscriber::registry().with(lines.with_filter(told)).init();
     let served = actix_rt::Runtime::new().map_err(|e| e.to_string()).and_then(|runtime| {
         runtime.block_on(async {
             // Listened for before anything else: without that, either signal ends the process.
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -22,8 +22,11 @@
     pub most_open: usize,
     /// Bytes of questions and values held at once.
     pub held: usize,
-    /// Bytes of one body, and of one frame.
+    /// Bytes of a request's head.
+    pub head: usize,
+    /// Bytes of one body, of one as it comes in chunks, and of one frame.
     pub body: usize,
+    pub body_on_wire: usize,
     pub frame: usize,
     /// Bytes of a retrieval's id.
     pub id: usize,
@@ -43,8 +46,19 @@
     pub unsent: Tenths,
     /// A connection to a node is closed when it stood idle for so long.
     pub node_idle: Duration,
-    /// A peer that neither takes nor sends what is due for so long is let go.
+    /// A node that takes nothing for so long is let go.
     pub slow: Duration,
+    /// A client has so long for its first request, for the whole of one, and to take its answer.
+    pub slow_client: Duration,
+    /// It keeps a new connection so long, though it says nothing and others wait for the place.
+    pub first_moment: Duration,
+    /// What still comes after the last answer is taken in for so long, and so many bytes of it.
+    pub linger: Duration,
+    pub linger_bytes: usize,
+    /// Wrong requests in a row after which a connection is closed.
+    pub wrong: usize,
+    /// What a client is told that is declined at a bound, where clients are told when to come again.
+    pub stay_away: Tenths,
     /// How long a client's connection may stand idle.
     pub keep_alive: Duration,
     /// How often peers are looked over.
@@ -63,8 +77,8 @@
 /// Files, pipes, the listener, discovery: what needs a descriptor beside peers.
 const OWN: usize = 32;
 const KIB: usize = 1024;
-/// What the buffers of one connection may come to.
-const BUFFERS: usize = 128 * KIB;
+/// What the buffers of one connection may come to: a head, what the HTTP server sets aside, an answer.
+const BUFFERS: usize = 48 * KIB;
 
 impl Limits {
     /// An error says what the machine has too little of.
@@ -79,19 +93,24 @@
         }
         // Three quarters of the memory: what is held, and the buffers of clients and of nodes.
         let quarter = memory_mb * KIB * KIB / 4;
-        let lines = (for_peers / 2).min(quarter / BUFFERS);
+        // Clients come and go by hundreds, nodes are few: two thirds of the descriptors, and one.
+        let lines = (for_peers * 2 / 3).min(quarter / BUFFERS);
         let surplus_lines = lines / 8;
         let p = &intake.prescription;
         let line_parts = intake.lines.parts.unwrap_or(1).max(1) as usize;
         let connect = intake.lines.connect.unwrap_or(Tenths::from_ms(1000.0));
+        let goal = p.categories.iter().map(|category| category.goal_time).min().unwrap_or_default();
+        let stay_away = goal.min(p.limits.longest_stay_away);
         let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
         Ok(Limits {
             client_lines: lines - surplus_lines,
             surplus_lines,
-            node_lines: lines,
+            node_lines: (for_peers / 3).min(quarter / BUFFERS),
             most_open: p.limits.most_open as usize,
             held: quarter,
+            head: 16 * KIB,
             body: 64 * KIB,
+            body_on_wire: 256 * KIB,
             frame: 64 * KIB,
             id: 128,
             weight_slack: 0.01,
@@ -104,8 +123,14 @@
             unsent: connect + p.period,
             node_idle: idle.mul_f64(0.8),
             slow: Duration::from_secs(5),
+            slow_client: Duration::from_secs(2),
+            first_moment: Duration::from_millis(100),
+            linger: Duration::from_secs(1),
+            linger_bytes: 256 * KIB,
+            wrong: 16,
+            stay_away: if p.limits.stay_away { stay_away } else { Tenths::ZERO },
             keep_alive: Duration::from_secs(600),
-            sweep: Duration::from_secs(1),
+            sweep: Duration::from_millis(250),
             longest_wait: Duration::from_secs(600),
             watch: span(p.rules.ask_within)
                 .div_f64(2.0)
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -203,8 +203,8 @@
         let open: Vec<Rc<Line>> = {
             let lines = self.lines.borrow();
             let lines = lines.get(&node).into_iter().flatten();
-            // Guards against connections that fell silent without a word: what is put on them is lost, while the
-            // node may serve on others. Where it is the node that is silent, a new one costs a handshake.
+            // Guards against connections that fell silent without a word: what is put on them is lost, while
+            // the node may serve on others. Where it is the node that is silent, a new one costs a handshake.
             let silent = |line: &&Rc<Line>| line.is_silent(self.limits.unheard);
             lines.clone().filter(silent).for_each(|line| line.close());
             lines.filter(|line| !line.closing.get() && line.address == address).cloned().collect()
@@ -354,8 +354,8 @@
         self.end(push, end, (end == PushEnd::Finished).then_some(value));
     }
 
-    /// Guards against a value that is cut, or swollen by the head of the next answer: its length was wrong, and
-    /// what comes behind is no frame. Noise behind the last answer due takes nothing from that.
+    /// Guards against a value that is cut, or swollen by the head of the next answer: its length was wrong,
+    /// and what comes behind is no frame. Noise behind the last answer due takes nothing from that.
     fn let_go(&self, line: &Line, behind_is_text: bool) {
         if line.out.borrow().is_empty() && !behind_is_text {
             return self.keep(line);
--- a/crates/broker/src/retrieval.rs
+++ b/crates/broker/src/retrieval.rs
@@ -2,7 +2,7 @@
 
 use crate::desk::{Desk, NotTaken, Question, QuestionPart, Verdict};
 use crate::limits::Limits;
-use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
+use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, UPGRADE};
 use actix_http::{HttpMessage, Request, Response, ResponseBuilder, StatusCode};
 use barleydrum::{CallerNo, Category, CategoryNo, EffectKind, ShardNo, Tenths};
 use bytes::{Bytes, BytesMut};
@@ -10,10 +10,11 @@
 use intake::Names;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
-use std::collections::BTreeSet;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout_at};
 use tracing::warn;
 
 const ID: &str = "X-Correlation-Id";
@@ -63,29 +64,73 @@
     pub categories: Vec<Category>,
     pub shards: u32,
     pub limits: Rc<Limits>,
+    pub wrongs: Wrongs,
+}
+
+/// What was wrong with requests, summed up: a line for each would be a load under a flood.
+#[derive(Default)]
+pub struct Wrongs(RefCell<BTreeMap<(u16, &'static str), usize>>);
+
+impl Wrongs {
+    pub fn note(&self, status: u16, why: &'static str) {
+        *self.0.borrow_mut().entry((status, why)).or_default() += 1;
+    }
+
+    /// What has come together since the last time, a line for each kind.
+    pub fn take(&self) -> Vec<String> {
+        let line = |((status, why), times)| format!("{status}: {why} ({times} times)");
+        self.0.take().into_iter().map(line).collect()
+    }
+}
+
+impl Counter {
+    /// Tells a client what is wrong with its request, and the log in time.
+    pub fn bad(&self, status: StatusCode, why: &'static str) -> Response<Bytes> {
+        self.wrongs.note(status.as_u16(), why);
+        let mut response = Response::build(status);
+        if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
+            // The rest of the body is not waited for.
+            response.force_close();
+        }
+        respond(&mut response, format!("{why}\n"))
+    }
 }
 
 /// Serves one retrieval. Dropped on the way, because its client has gone, it tells the module so.
-pub async fn serve(counter: &Counter, mut request: Request, arrived: Instant) -> Response<Bytes> {
+/// `whole` is called once its request has come.
+pub async fn serve(
+    counter: &Counter,
+    mut request: Request,
+    arrived: Instant,
+    whole: impl FnOnce(),
+) -> Response<Bytes> {
     let Counter { desk, limits, .. } = counter;
-    let Some(held) = desk.hold(limits.body) else { return decline(Tenths::ZERO) };
-    let body = match timeout(limits.slow, read_body(&mut request, limits.body)).await {
+    let told = match told_length(&request) {
+        Ok(told) => told.unwrap_or(limits.body),
+        Err(why) => return counter.bad(StatusCode::BAD_REQUEST, why),
+    };
+    if told > limits.body {
+        return counter.bad(StatusCode::PAYLOAD_TOO_LARGE, "a body that is too long");
+    }
+    let Some(held) = desk.hold(told) else { return decline(limits.stay_away) };
+    let body = match timeout_at(arrived + limits.slow_client, read_body(&mut request, limits.body)).await {
         Ok(Ok(body)) => body,
-        Ok(Err(status)) => return bad(status, "a body that is too long or breaks off"),
-        Err(_) => return bad(StatusCode::REQUEST_TIMEOUT, "a body that does not come"),
+        Ok(Err(status)) => return counter.bad(status, "a body that is too long or breaks off"),
+        Err(_) => return counter.bad(StatusCode::REQUEST_TIMEOUT, "a body that does not come"),
     };
+    whole();
     let question = match read_question(counter, &request, &body, arrived) {
         Ok(question) => question,
-        Err(why) => return bad(StatusCode::BAD_REQUEST, why),
+        Err(why) => return counter.bad(StatusCode::BAD_REQUEST, why),
     };
     drop((held, body));
     if !can_be_carried(counter, &request, question.category) {
-        return decline(Tenths::ZERO);
+        return decline(limits.stay_away);
     }
     let verdict = match desk.take(question) {
         Ok(taken) => taken.verdict().await,
-        Err(NotTaken::Full) => Verdict::Decline { stay_away: Tenths::ZERO },
-        Err(NotTaken::Known) => return bad(StatusCode::BAD_REQUEST, "an id that is open already"),
+        Err(NotTaken::Full) => Verdict::Decline { stay_away: limits.stay_away },
+        Err(NotTaken::Known) => return counter.bad(StatusCode::BAD_REQUEST, "an id that is open already"),
     };
     match verdict {
         Verdict::Answer { whole, items } => answer(whole, &items, limits.body),
@@ -104,6 +149,17 @@
     })
 }
 
+/// The body's length, where it is told. Guards against bodies that are read for nothing, and against what the
+/// HTTP server takes for the end of requests: after a wish to speak another protocol it reads on for ever.
+fn told_length(request: &Request) -> Result<Option<usize>, &'static str> {
+    let headers = request.headers();
+    if headers.contains_key(UPGRADE) {
+        return Err("another protocol is asked for");
+    }
+    let told = headers.get(CONTENT_LENGTH).and_then(|value| value.to_str().ok());
+    told.map(|text| text.trim().parse().map_err(|_| "a length that can't be read")).transpose()
+}
+
 async fn read_body(request: &mut Request, most: usize) -> Result<Bytes, StatusCode> {
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
@@ -124,7 +180,11 @@
     body: &Bytes,
     arrived: Instant,
 ) -> Result<Question, &'static str> {
-    let header = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+    let headers = request.headers();
+    if [ID, CATEGORY, CALLER, TIME_LEFT].iter().any(|name| headers.get_all(*name).count() > 1) {
+        return Err("a header that comes twice");
+    }
+    let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let id = header(ID).ok_or("no id")?;
     if id.is_empty() || id.len() > counter.limits.id || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err("an id that can't be passed on");
@@ -135,7 +195,8 @@
     // A caller that the settings do not name has no share of its own.
     let caller = header(CALLER).map_or(Some(0), |c| counter.names.callers.iter().position(|name| name == c));
     let caller = CallerNo(caller.map_or(u32::MAX, |caller| caller as u32));
-    let time_left: u64 = header(TIME_LEFT).and_then(|text| text.parse().ok()).ok_or("no time left told")?;
+    let digits = header(TIME_LEFT).filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
+    let time_left: u64 = digits.and_then(|text| text.parse().ok()).ok_or("no time left told")?;
     let time_left = Duration::from_millis(time_left).min(counter.limits.longest_wait);
     let asked: Asked = serde_json::from_slice(body).map_err(|_| "a body that can't be read")?;
     let shards: BTreeSet<u32> = asked.parts.iter().map(|part| part.shard).collect();
@@ -146,7 +207,7 @@
         return Err("an unknown shard");
     }
     let sum: f64 = asked.parts.iter().map(|part| part.weight).sum();
-    let sound = asked.parts.iter().all(|part| part.weight >= 0.0);
+    let sound = asked.parts.iter().all(|part| (0.0..=1.0).contains(&part.weight));
     if !sound || (sum - 1.0).abs() > counter.limits.weight_slack {
         return Err("weights that do not make a whole");
     }
@@ -195,17 +256,6 @@
     respond(&mut response, "declined\n")
 }
 
-/// Tells a client what is wrong with its request, and the log too.
-pub fn bad(status: StatusCode, why: &'static str) -> Response<Bytes> {
-    warn!("{}: {why}", status.as_u16());
-    let mut response = Response::build(status);
-    if status == StatusCode::PAYLOAD_TOO_LARGE || status == StatusCode::REQUEST_TIMEOUT {
-        // The rest of the body is not waited for.
-        response.force_close();
-    }
-    respond(&mut response, format!("{why}\n"))
-}
-
 pub fn plain(status: StatusCode, text: &'static str) -> Response<Bytes> {
     respond(&mut Response::build(status), text)
 }
@@ -216,3 +266,19 @@
         .message_body(body)
         .unwrap_or_else(|_| Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    /// However many wrong requests come, the log gets a line for each kind.
+    #[rstest]
+    fn sums_up_what_was_wrong() {
+        let wrongs = Wrongs::default();
+        (0..1000).for_each(|_| wrongs.note(400, "no id"));
+        wrongs.note(413, "a body that is too long");
+        assert_eq!(wrongs.take(), ["400: no id (1000 times)", "413: a body that is too long (1 times)"]);
+        assert!(wrongs.take().is_empty());
+    }
+}
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -89,13 +89,25 @@
 #[case(&request("", "lookup", 900, &body(ONE)), 400)]
 #[case(&request("a", "unheard-of", 900, &body(ONE)), 400)]
 #[case(&request("a", "lookup", 900, &body(ONE)).replace("X-Time-Left-Ms: 900", "X-Time-Left-Ms: soon"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("X-Time-Left-Ms: ", "X-Time-Left-Ms: +"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("X-Time", "X-Time-Left-Ms: 5\r\nX-Time"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("Host", "X-Correlation-Id: b\r\nHost"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("Host", "Upgrade: websocket\r\nHost"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("Host", "Transfer-Encoding: chunked\r\nHost"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("Host", "Content-Length: 0\r\nHost"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("Length: ", "Length: +"), 400)]
+#[case(&request("a", "lookup", 900, &body(ONE)).replace("Length: ", "Length: -"), 400)]
 #[case(&request("a", "lookup", 900, "{\"slices\":"), 400)]
 #[case(&request("a", "lookup", 900, &body(&[])), 400)]
 #[case(&request("a", "lookup", 900, &body(&[(3, 0.5), (3, 0.5)])), 400)]
 #[case(&request("a", "lookup", 900, &body(&[(16, 1.0)])), 400)]
 #[case(&request("a", "lookup", 900, &body(&[(3, 0.4), (4, 0.4)])), 400)]
 #[case(&request("a", "lookup", 900, &body(&[(3, 1.5), (4, -0.5)])), 400)]
+#[case(&request("a", "lookup", 900, &body(&[(3, 1.005)])), 400)]
 #[case(&request("a", "lookup", 900, &" ".repeat(64 * 1024 + 1)), 413)]
+#[case("POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n", 413)]
+#[case(&format!("POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 60000000\r\n\r\n{}", " ".repeat(200_000)), 413)]
+#[case(&format!("GET /_health HTTP/1.1\r\nHost: x\r\nX: {}", "x".repeat(100_000)), 431)]
 fn says_what_is_wrong_with_a_request(#[case] text: &str, #[case] status: u16) {
     play(async {
         let mut stage = Stage::new(1).await;
@@ -415,7 +427,7 @@
         let _first = stage.ask("a", "lookup", &[(0, 0.25), (1, 0.25), (2, 0.25), (3, 0.25)]).await;
         stage.call().await;
         assert_eq!(stage.ask("c", "lookup", ONE).await.reply().await.unwrap().status, 503);
-        // 14 connections, and two beyond that; those that are idle make room.
+        // 19 connections, and two beyond that; those that are idle make room.
         let mut held = Vec::new();
         for at in 0..30 {
             let mut client = stage.client().await;
@@ -425,7 +437,7 @@
         }
         assert!(held[0].reply().await.is_none());
         let mut stuck = Vec::new();
-        for _ in 0..13 {
+        for _ in 0..18 {
             let mut client = stage.client().await;
             client.write("POST /api HT").await;
             stuck.push(client);
@@ -448,9 +460,9 @@
 fn idle_connections_make_room_at_the_bound() {
     play(async {
         let few = |c: &mut Value| c["limits"]["sockets"] = json!(64);
-        let stage = Stage::with(1, few, |order| order.limits.slow = Duration::from_secs(90)).await;
+        let stage = Stage::with(1, few, |order| order.limits.slow_client = Duration::from_secs(90)).await;
         let mut held = Vec::new();
-        for _ in 0..16 {
+        for _ in 0..21 {
             let mut client = stage.client().await;
             client.write("GET /_health HT").await;
             pause(20).await;
@@ -497,26 +509,97 @@
     });
 }
 
-/// A client that is slow with its head or its body is let go, one that is idle is not.
+/// A client that says nothing, or is slow with its head or its body, is let go in time; one that is idle after
+/// an answer is not.
 #[rstest]
 fn lets_slow_clients_go() {
     play(async {
         let quick = |order: &mut Order| {
-            order.limits.slow = Duration::from_millis(200);
+            order.limits.slow_client = Duration::from_millis(200);
             order.limits.sweep = Duration::from_millis(50);
         };
         let stage = Stage::with(1, |_| (), quick).await;
-        let (mut idle, mut head, mut body) =
-            (stage.client().await, stage.client().await, stage.client().await);
+        let (mut idle, mut silent, mut head, mut body) =
+            (stage.client().await, stage.client().await, stage.client().await, stage.client().await);
+        let health = "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+        idle.write(health).await;
+        assert_eq!(idle.reply().await.unwrap().status, 200);
         head.write("POST /api HTTP/1.1\r\n").await;
         body.write("POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\n{").await;
-        assert!(head.reply().await.is_none());
+        assert!(silent.reply().await.is_none());
+        assert_eq!(head.reply().await.unwrap().status, 408);
         assert_eq!(body.reply().await.unwrap().status, 408);
-        idle.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        pause(500).await;
+        idle.write(health).await;
         assert_eq!(idle.reply().await.unwrap().status, 200);
     });
 }
 
+/// Connections by hundreds that say nothing keep nobody out: at the bound they make room at once.
+#[rstest]
+fn silent_connections_make_room() {
+    play(async {
+        let few = |c: &mut Value| c["limits"]["sockets"] = json!(64);
+        let patient = |order: &mut Order| {
+            (order.limits.slow_client, order.limits.sweep) =
+                (Duration::from_secs(90), Duration::from_secs(90));
+        };
+        let stage = Stage::with(1, few, patient).await;
+        let mut silent = Vec::new();
+        for _ in 0..100 {
+            silent.push(stage.client().await);
+        }
+        let mut usual = stage.client().await;
+        usual.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert_eq!(usual.reply().await.unwrap().status, 200);
+    });
+}
+
+/// Of what comes on one connection one request is in work; the rest stays unread until that is answered, and
+/// does it no harm.
+#[rstest]
+fn takes_one_request_of_a_connection_at_a_time() {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let (_, line, _) = stage.call().await;
+        client.write("no request at all\r\n\r\n").await;
+        pause(200).await;
+        assert!(stage.is_silent());
+        stage.nodes[0].end(line, "a.3", 'S', "one").await;
+        assert!(client.reply().await.unwrap().body.contains("one"));
+        assert_eq!(client.reply().await.unwrap().status, 400);
+    });
+}
+
+/// The id of an open retrieval is refused to others, and the open one goes on untouched.
+#[rstest]
+fn refuses_an_id_that_is_open() {
+    play(async {
+        let mut stage = Stage::new(1).await;
+        let mut first = stage.ask("a", "lookup", ONE).await;
+        let (_, line, _) = stage.call().await;
+        assert_eq!(stage.ask("a", "lookup", BOTH).await.reply().await.unwrap().status, 400);
+        assert!(stage.is_silent());
+        stage.nodes[0].end(line, "a.3", 'S', "v").await;
+        assert_eq!(first.reply().await.unwrap().status, 200);
+    });
+}
+
+/// Who comes with the same wrong request again and again is closed after a while.
+#[rstest]
+fn closes_on_what_is_always_wrong() {
+    play(async {
+        let stage = Stage::with(1, |_| (), |order| order.limits.wrong = 3).await;
+        let mut client = stage.client().await;
+        for _ in 0..3 {
+            client.write(&request("a", "unheard-of", 900, &body(ONE))).await;
+            assert_eq!(client.reply().await.unwrap().status, 400);
+        }
+        assert!(client.reply().await.is_none());
+    });
+}
+
 /// An idle connection goes before the node reaps it, so no part is written to one that is gone.
 #[rstest]
 fn closes_idle_connections_to_nodes() {
