Few idle client connections are kept, so that callers are free to open others

Probes showed 128 idle connections at the broker that stayed, a third of its descriptors and all that callers may hold, when requests stopped coming; front.rs let idle ones go at its own bound only (205). Excluded: declines, surplus, the way out. Now a fifth of the descriptors' number is kept idle, the longest idle goes first.

--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -224,6 +224,7 @@
             debug!("no-delay: {e}");
         }
         let limits = self.counter.limits.clone();
+        self.keep_few();
         let full = self.lines.borrow().len() >= limits.client_lines;
         // At the bound the connection that was idle longest makes room; else the new one is declined.
         let made_room = full && self.let_idle_go();
@@ -346,6 +347,16 @@
         first.inspect(|line| line.end(None)).is_some()
     }
 
+    /// Guards against callers that ask once and keep their connection: they may hold only so many to a broker,
+    /// and ask no more of it once these are used up.
+    fn keep_few(&self) {
+        let lines = self.lines.borrow();
+        let kept = || lines.iter().filter(|line| line.served.get() && line.is_idle());
+        if kept().count() > self.counter.limits.kept_lines {
+            kept().min_by_key(|line| line.used.get()).into_iter().for_each(|line| line.end(None));
+        }
+    }
+
     /// Guards against clients that hold their connections: that send or take a byte now and then, or that say
     /// nothing at all from the start.
     fn let_slow_go(&self) {
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -16,6 +16,8 @@
     /// Connections of clients served at once; those beyond, as far as `surplus` goes, are declined.
     pub client_lines: usize,
     pub surplus_lines: usize,
+    /// Of these, so many may be kept idle after an answer.
+    pub kept_lines: usize,
     /// Connections to nodes.
     pub node_lines: usize,
     /// Retrievals and parts held at once.
@@ -105,6 +107,8 @@
         Ok(Limits {
             client_lines: lines - surplus_lines,
             surplus_lines,
+            // Callers hold a third of the descriptors at the most; idle ones must leave them some of it.
+            kept_lines: (sockets / 5).min(lines / 2),
             node_lines: (for_peers / 3).min(quarter / BUFFERS),
             most_open: p.limits.most_open as usize,
             held: quarter,
@@ -129,7 +133,7 @@
             linger_bytes: 256 * KIB,
             wrong: 16,
             stay_away: if p.limits.stay_away { stay_away } else { Tenths::ZERO },
-            keep_alive: Duration::from_secs(600),
+            keep_alive: Duration::from_secs(60),
             sweep: Duration::from_millis(250),
             longest_wait: Duration::from_secs(600),
             watch: span(p.rules.ask_within)
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -535,6 +535,24 @@
     });
 }
 
+/// Who asks once and keeps the connection leaves room for others: the one that was idle longest is closed.
+#[rstest]
+fn keeps_few_idle_connections() {
+    play(async {
+        let stage = Stage::with(1, |_| (), |order| order.limits.kept_lines = 2).await;
+        let mut kept = Vec::new();
+        for _ in 0..4 {
+            let mut client = stage.client().await;
+            client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            assert_eq!(client.reply().await.unwrap().status, 200);
+            kept.push(client);
+        }
+        assert!(kept[0].reply().await.is_none());
+        kept[1].write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert_eq!(kept[1].reply().await.unwrap().status, 200);
+    });
+}
+
 /// Connections by hundreds that say nothing keep nobody out: at the bound they make room at once.
 #[rstest]
 fn silent_connections_make_room() {
