Nodes that refuse get one push a window; a discovery that fell silent is noticed sooner

Excluded: load, spoilt answers. Also: a retrieval of one part is no scout, it was answered at its goal time only.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -284,7 +284,7 @@
         let (least, partial) = (self.row(r).least, self.row(r).least < self.row(r).whole);
         let (mut sent, out) = (0.0, self.s.tickets.len());
         let first = r.parts.iter().all(|part| part.pushes.is_empty());
-        r.scouting = first && self.s.falls.share(self.s.now, SPAN, 1.0 / START) > START;
+        r.scouting = first && r.parts.len() > 1 && self.s.falls.share(self.s.now, SPAN, 1.0 / START) > START;
         for (count, at) in self.plan(r, false).into_iter().enumerate() {
             if !partial || out + count < self.s.room as usize || sent + ROUNDING < least {
                 let part = &mut r.parts[at];
@@ -655,7 +655,8 @@
     }
 
     /// Rule 4, whatever the other brokers send: a cold node gets this broker's even share of what it bears:
-    /// one part at a time at the lowest average latency, times the share it has warmed to at the least.
+    /// one part at a time at the lowest average latency, times the share it has warmed to at the least. While
+    /// it fails again and again, as one that refuses connections, it gets one push a window.
     fn has_room(&self, id: &NodeId) -> bool {
         let node = &self.s.nodes[id];
         if !self.is_cold(*id) {
@@ -670,7 +671,7 @@
         let window = rules.fall_window.times(1.0 / mine.clamp(0.001, 1.0));
         let since = self.s.now - window;
         let lately = node.cold_pushes.iter().rev().take_while(|at| **at >= since).count();
-        lately < mine.max(1.0) as usize
+        lately < if node.failures > 1 { 1 } else { mine.max(1.0) as usize }
     }
 
     // ---- the roll
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -103,6 +103,7 @@
         let connect = intake.lines.connect.unwrap_or(Tenths::from_ms(1000.0));
         let goal = p.categories.iter().map(|category| category.goal_time).min().unwrap_or_default();
         let stay_away = goal.min(p.limits.longest_stay_away);
+        let watch = (span(p.rules.ask_within) / 10).clamp(Duration::from_secs(1), Duration::from_secs(5));
         let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
         Ok(Limits {
             client_lines: lines - surplus_lines,
@@ -136,10 +137,9 @@
             keep_alive: Duration::from_secs(60),
             sweep: Duration::from_millis(250),
             longest_wait: Duration::from_secs(600),
-            watch: span(p.rules.ask_within)
-                .div_f64(2.0)
-                .clamp(Duration::from_secs(1), Duration::from_secs(60)),
-            watch_slack: Duration::from_secs(2),
+            // Short, since a connection may fall silent unseen: what is not told by then is asked for anew.
+            watch,
+            watch_slack: watch,
             last_moment: Duration::from_millis(500),
             period: p.period,
         })
