A connection that is let go reads no request any more, which would be lost with it

Read in front.rs after more idle connections are let go than before: welcome()'s select! polls its branches in any order, so where a request and the word to go came in one turn of the reactor (a new connection, for which an idle one goes, and that one's next request), the server read the request and was dropped with it, unanswered. A test that brings both at once failed every time without the order, at the latest in the twentieth round. Now the word to go is looked at first: the request stays unread, and its client sends it once more.

--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -251,6 +251,9 @@
             let stream = Rc::new(RefCell::new(stream));
             let watched = Watched { stream: stream.clone(), line: line.clone() };
             let unread = tokio::select! {
+                // First: one that was idle when it was let go reads no request any more, which would be lost.
+                biased;
+                () = line.go.notified() => line.last_word.get().is_some(),
                 ended = service.call((watched, None)) => match ended {
                     Err(DispatchError::Parse(_)) => {
                         self.counter.wrongs.note(400, "no request that can be read");
@@ -258,7 +261,6 @@
                     }
                     _ => line.behind.get() && !self.closing.get(),
                 },
-                () = line.go.notified() => line.last_word.get().is_some(),
             };
             if let Some(stream) = Rc::into_inner(stream).filter(|_| unread) {
                 self.take_leave(stream.into_inner(), line.last_word.get()).await;
@@ -427,17 +429,49 @@
     use rstest::rstest;
     use std::io::{Read, Write};
 
+    /// A front that knows no node, and keeps so many idle connections.
+    fn front(kept_lines: usize) -> Rc<Front> {
+        let Intake { prescription, names, .. } = Intake::default();
+        let machine = Machine { memory_mb: 192, sockets: 1024 };
+        let limits = Limits::new(machine, &Intake::default()).unwrap();
+        let limits = Rc::new(Limits { kept_lines, ..limits });
+        let desk = Desk::new(prescription, Vec::new(), 1, limits.clone());
+        let wrongs = Default::default();
+        Front::new(Counter { desk, names, categories: Vec::new(), shards: 1, limits, wrongs })
+    }
+
+    /// A request that comes as its connection is let go stays unread, and so its client sends it again.
+    #[rstest]
+    fn takes_nothing_on_a_connection_let_go() {
+        actix_rt::Runtime::new().unwrap().block_on(async {
+            let front = front(0);
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            actix_rt::spawn(front.clone().run(listener));
+            let health = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
+            for _ in 0..20 {
+                let mut idle = std::net::TcpStream::connect(address).unwrap();
+                idle.write_all(health).unwrap();
+                while !front.lines.borrow().iter().any(|line| line.served.get()) {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                assert!(idle.read(&mut [0; 1024]).unwrap() > 0);
+                // Both are heard of at once: the new connection, for which this one goes, and its request.
+                let _new = std::net::TcpStream::connect(address).unwrap();
+                idle.write_all(health).unwrap();
+                while front.lines.borrow().iter().any(|line| line.served.get()) {
+                    sleep(Duration::from_millis(5)).await;
+                }
+                assert_eq!(idle.read(&mut [0; 1024]).unwrap_or(0), 0);
+            }
+        });
+    }
+
     /// What stands in the listener's line when the front closes is answered before it is closed.
     #[rstest]
     fn answers_the_last_in_line() {
         actix_rt::Runtime::new().unwrap().block_on(async {
-            let Intake { prescription, names, .. } = Intake::default();
-            let machine = Machine { memory_mb: 192, sockets: 1024 };
-            let limits = Rc::new(Limits::new(machine, &Intake::default()).unwrap());
-            let desk = Desk::new(prescription, Vec::new(), 1, limits.clone());
-            let wrongs = Default::default();
-            let front =
-                Front::new(Counter { desk, names, categories: Vec::new(), shards: 1, limits, wrongs });
+            let front = front(9);
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
             actix_rt::spawn(front.clone().run(listener));
