--- a/crates/barleydrum/src/inputs.rs
+++ b/crates/barleydrum/src/inputs.rs
@@ -3,6 +3,7 @@
 use crate::ids::{
     CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
 };
+use crate::prescription::Prescription;
 use crate::time::Tenths;
 use std::sync::Arc;
 
@@ -13,6 +14,9 @@
     Roll(Roll),
     /// A call for the roll failed, or the following of it broke off; the old roll still holds.
     RollFailed,
+    /// What is taken from now on is served so; what is open keeps what it was taken under. The period, the
+    /// zone and the way to a node (`send_lag`) must stay as they were at the start.
+    Prescription(Box<Prescription>),
     /// A retrieval is handed over; its parts follow in the same turn.
     Retrieval(NewRetrieval),
     Part(NewPart),
--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -6,11 +6,13 @@
 use crate::effects::Effect;
 use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
 use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome, Roll};
-use crate::prescription::{EffectKind, FurtherBudget, Prescription};
+use crate::prescription::{Category, EffectKind, FurtherBudget, Layout, Prescription};
 use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
 use crate::state::Stage::{self, Answered, Asking, Between, Over, Overdue, Taken};
-use crate::state::{CategoryRow, Due, Fate, Instance, Line, Node, Part, PartStage, Push, Retrieval, Ticket};
+use crate::state::{CategoryRow, Due, Fate, Instance, Line, Node, Part, PartStage, Push, Retrieval};
+use crate::state::{Terms, Ticket};
 use crate::time::Tenths;
+use std::sync::Arc;
 
 /// The design page's figures: score below which a part stays unsent, the base's ceiling, the
 /// pressure from which it rises, and the span over which pressure and latency are smoothed.
@@ -96,9 +98,8 @@
 
 /// Decides for one broker, from nothing but what that broker was told.
 pub struct Broker {
-    prescription: Prescription,
-    rows: Vec<CategoryRow>,
-    further: FurtherBudget,
+    /// Those under which retrievals are taken now; each keeps its own to its end.
+    terms: Arc<Terms>,
     rng: fastrand::Rng,
     s: Instance,
 }
@@ -106,8 +107,15 @@
 impl Broker {
     /// A broker that has just started and knows nothing but its prescription.
     pub fn start(prescription: Prescription, seed: u64, now: Tenths) -> Broker {
-        let p = &prescription;
-        let rows = p.categories.iter().map(|c| CategoryRow {
+        let room = f64::from(prescription.limits.most_open) * CROWDED;
+        let mut s = Instance { now, roll_silent: true, room, ..Instance::default() };
+        s.agenda.extend(prescription.roll_on_request.then_some((now, Due::FollowRoll)));
+        Broker { terms: Arc::new(Broker::read(prescription)), rng: fastrand::Rng::with_seed(seed), s }
+    }
+
+    /// What decisions need of a prescription, worked out once.
+    fn read(p: Prescription) -> Terms {
+        let row = |c: &Category| CategoryRow {
             goal: c.goal_time.min(c.cut_off),
             stretch: c.goal_stretch,
             cut_off: c.cut_off,
@@ -119,14 +127,34 @@
             effect: c.effect,
             repeat_window: c.repeat_window,
             payoff: c.payoff,
-        });
+        };
         // A broker's own restraint where none is stated: one node's outage must not double the load.
         let own = FurtherBudget { floor: p.limits.most_pushes.into(), share: OWN_FURTHER, window: SPAN };
-        let room = f64::from(p.limits.most_open) * CROWDED;
-        let mut s = Instance { now, roll_silent: true, room, ..Instance::default() };
-        s.agenda.extend(p.roll_on_request.then_some((now, Due::FollowRoll)));
-        let (rows, further) = (rows.collect(), p.rules.further.clone().unwrap_or(own));
-        Broker { rows, further, rng: fastrand::Rng::with_seed(seed), s, prescription }
+        let rows = p.categories.iter().map(|(no, c)| (*no, Arc::new(row(c)))).collect();
+        let shortest_goal = p.categories.values().map(|c| c.goal_time.min(c.cut_off)).min();
+        Terms { rows, further: p.rules.further.clone().unwrap_or(own), shortest_goal, prescription: p }
+    }
+
+    /// Takes a new prescription. What outlives the old one goes by what it means: rates by caller, payoffs by
+    /// category, pushes by time. The old one binds on, beside the new, for as long as a window of its rules
+    /// reaches back. Guards against a change that would let twice the budget through in one window.
+    fn prescribe(&mut self, prescription: Prescription) {
+        let old = std::mem::replace(&mut self.terms, Arc::new(Broker::read(prescription)));
+        let rules = &old.prescription.rules;
+        let binds = (old.further.window + self.leaves_by()).max(rules.warm_after).max(rules.fall_window);
+        let (now, new) = (self.s.now, &self.terms);
+        self.s.room = self.s.room.min(f64::from(new.prescription.limits.most_open.max(1)));
+        let alike = |a: &CategoryRow, b: &CategoryRow| (a.payoff, a.least) == (b.payoff, b.least);
+        let same = |no: &_| old.rows.get(no).zip(new.rows.get(no)).is_some_and(|(a, b)| alike(a, b));
+        self.s.pays.retain(|no, _| same(no));
+        let named = |no: &_| new.prescription.callers.contains_key(no);
+        self.s.callers.retain(|no, rate| named(no) || rate.read(now, SPAN) >= START);
+        self.s.past.push((now + binds, old));
+    }
+
+    /// The newest terms, and the older ones that still bind: what may be done is what all of them allow.
+    fn binding(&self) -> impl Iterator<Item = &Terms> {
+        std::iter::once(&*self.terms).chain(self.s.past.iter().map(|(_, terms)| &**terms))
     }
 
     /// Takes in all that was heard, in order, and tells what to do at this same moment.
@@ -136,9 +164,9 @@
         if self.s.ready_heard * 2 >= self.s.ready {
             self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
         }
-        // Rule 6 in any window: taken counts over one shorter by the way to a node, further over a longer.
-        let (since, slack) = (now - self.further.window, self.leaves_by());
-        self.s.forget(since + slack, since - slack);
+        self.s.past.retain(|(until, _)| *until > now);
+        let longest = self.binding().map(|terms| terms.further.window).max().unwrap_or_default();
+        self.s.forget(now - longest + self.leaves_by(), now - longest - self.leaves_by());
         for input in inputs {
             self.hear(input);
         }
@@ -159,6 +187,7 @@
         match input {
             Input::Roll(roll) => self.read_roll(roll),
             Input::RollFailed => self.roll_failed(),
+            Input::Prescription(new) => self.prescribe((**new).clone()),
             Input::Retrieval(new) => self.take(new),
             Input::Part(new) => self.s.add_part(new),
             Input::Flowing(part) => self.s.bind(part),
@@ -189,7 +218,7 @@
             act(self, &mut r);
         }
         match r.stage {
-            Over => self.s.let_go(&r, self.prescription.limits.may_withdraw),
+            Over => self.s.let_go(&r, r.terms.prescription.limits.may_withdraw),
             Answered => {
                 self.s.put(r);
                 self.signal(id, Said);
@@ -202,7 +231,7 @@
 
     /// All that was sent has ended, enough is in for the whole, or a first step has had half of its time.
     fn complete(&mut self, r: &Retrieval) -> bool {
-        let halfway = self.leads_on(r) && self.s.now + self.row(r).goal.times(0.5) >= r.goal_at;
+        let halfway = self.leads_on(r) && self.s.now + r.row.goal.times(0.5) >= r.goal_at;
         let settled = r.weight(&[PartStage::Wanted, PartStage::Out]) == 0.0;
         self.has_least(r) && (self.is_whole(r) || settled || halfway)
     }
@@ -223,7 +252,7 @@
     }
 
     fn late_is_worth(&mut self, r: &Retrieval) -> bool {
-        self.row(r).late_pays && self.reaches_least(r, r.weight(&[PartStage::Out, PartStage::In]))
+        r.row.late_pays && self.reaches_least(r, r.weight(&[PartStage::Out, PartStage::In]))
     }
 
     /// Guards against retrievals that bring down every node that begins a part of them, which looks like
@@ -235,7 +264,7 @@
     }
 
     fn leads_on(&mut self, r: &Retrieval) -> bool {
-        self.row(r).two_steps && !r.second_step
+        r.row.two_steps && !r.second_step
     }
 
     /// Guards against queues that outgrow the goal time: a retrieval waits, and is then turned away, while
@@ -244,7 +273,7 @@
     fn no_room(&mut self, r: &Retrieval) -> bool {
         let lost: f64 = r.parts.iter().filter(|p| self.hopeless(r, p)).map(|p| p.weight).sum();
         let (out, need) = (self.s.tickets.len(), self.plan(r, true).len());
-        let (payoff, least) = (self.row(r).payoff, self.row(r).least);
+        let (payoff, least) = (r.row.payoff, r.row.least);
         let pays = payoff * least / need.max(1) as f64;
         self.s.note_pays(r.category, [pays, payoff / r.parts.len().max(1) as f64], NEWEST);
         out > 0 && ((out + need) as f64 > self.room_for(r, pays) || !self.reaches_least(r, 1.0 - lost))
@@ -255,12 +284,12 @@
     fn may_wait(&mut self, r: &Retrieval) -> bool {
         let line = ((self.s.waiting.len() + 1) * r.parts.len()) as f64;
         let short = self.s.waiting.contains(&r.id) || line <= self.s.room;
-        short && r.goal_at - self.s.now > self.row(r).goal.times(1.0 - PATIENCE_BOUNDS[0]) && self.no_room(r)
+        short && r.goal_at - self.s.now > r.row.goal.times(1.0 - PATIENCE_BOUNDS[0]) && self.no_room(r)
     }
 
     /// The room for what pays so much for each part that it sends.
     fn room_for(&self, r: &Retrieval, pays: f64) -> f64 {
-        let earns = if r.within_share { 1.0 } else { self.prescription.over_share_payoff };
+        let earns = if r.within_share { 1.0 } else { r.terms.prescription.over_share_payoff };
         let best = self.s.pays.values().map(|p| p[0]).fold(pays, f64::max).max(f64::MIN_POSITIVE);
         self.s.room * (CROWDED + (1.0 - CROWDED) * earns * pays / best)
     }
@@ -269,7 +298,7 @@
 
     fn wait(&mut self, r: &mut Retrieval) {
         self.s.waiting.insert(r.id);
-        self.later(self.row(r).goal, Due::Room(r.id));
+        self.later(r.row.goal, Due::Room(r.id));
     }
 
     /// What is turned away counts as refused, so that pressure rises and the cut sets in.
@@ -281,7 +310,7 @@
 
     /// Sends what the design's cut leaves, or the least share where there is no room for more.
     fn ask(&mut self, r: &mut Retrieval) {
-        let (least, partial) = (self.row(r).least, self.row(r).least < self.row(r).whole);
+        let (least, partial) = (r.row.least, r.row.least < r.row.whole);
         let (mut sent, out) = (0.0, self.s.tickets.len());
         let first = r.parts.iter().all(|part| part.pushes.is_empty());
         r.scouting = first && r.parts.len() > 1 && self.s.falls.share(self.s.now, SPAN, 1.0 / START) > START;
@@ -302,7 +331,7 @@
     /// cut: else a hot or dead shard's heavy part is sent for nothing while light ones are trimmed.
     fn plan(&mut self, r: &Retrieval, least_only: bool) -> Vec<usize> {
         let base = self.base(r.within_share);
-        let row = self.row(r);
+        let row = &r.row;
         let (mut rank, mut level) = (0, f64::INFINITY);
         let mut order: Vec<(bool, usize)> = Vec::new();
         for (at, part) in r.parts.iter().enumerate().filter(|(_, part)| part.stage != PartStage::Lost) {
@@ -328,7 +357,10 @@
     /// slow pair of holders is used for what it can do, rather than all that touches it turned away.
     fn hopeless(&self, r: &Retrieval, part: &Part) -> bool {
         let idle = |n: &Node| n.calls.is_empty() && n.failures == 0;
-        let nodes = self.holders(part).filter(|id| self.has_room(id)).map(|id| &self.s.nodes[&id]);
+        let nodes = self
+            .holders(&r.terms.prescription.layout, part)
+            .filter(|id| self.has_room(id))
+            .map(|id| &self.s.nodes[&id]);
         let wait = nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) }).min();
         wait.is_none_or(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
     }
@@ -340,33 +372,36 @@
     }
 
     fn clear_parts(&mut self, r: &mut Retrieval) {
-        self.s.drop_parts(r, self.prescription.limits.may_withdraw);
+        self.s.drop_parts(r, r.terms.prescription.limits.may_withdraw);
         r.second_step = true;
     }
 
     /// A decline where asking again is harmless, else a scrapping.
     fn give_up(&mut self, r: &mut Retrieval) {
         if self.kills(r) {
-            self.s.barred.insert(r.question(), self.s.now + self.row(r).cut_off);
+            self.s.barred.insert(r.question(), self.s.now + r.row.cut_off);
             let word = format!("barred: {} nodes fell with a retrieval", r.fallen.len());
             self.s.effects.push(Effect::Say(word));
         }
-        let (limits, goal) = (&self.prescription.limits, self.row(r).goal);
+        let (limits, goal) = (&r.terms.prescription.limits, r.row.goal);
         let mut fates = r.parts.iter().flat_map(|p| &p.pushes).map(|push| push.fate);
         let never_ran = fates.all(|fate| matches!(fate, Fate::NeverRan | Fate::Void));
-        let harmless = self.row(r).effect == EffectKind::Reissuable || never_ran && !r.second_step;
+        let harmless =
+            self.effects_of(r).all(|(kind, _)| kind == EffectKind::Reissuable) || never_ran && !r.second_step;
         let stay_away = if limits.stay_away { goal.min(limits.longest_stay_away) } else { Tenths::ZERO };
         let (retrieval, scrap) = (r.id, Effect::Scrap { retrieval: r.id });
         self.s.effects.push(if harmless { Effect::Decline { retrieval, stay_away } } else { scrap });
     }
 
     fn take(&mut self, new: &NewRetrieval) {
-        let NewRetrieval { id, group, category, caller, time_left, work } = *new;
+        let NewRetrieval { id, category, caller, time_left, work, .. } = *new;
         let now = self.s.now;
-        let Some(row) = self.rows.get(category.0 as usize) else {
+        let terms = self.terms.clone();
+        let Some(row) = terms.rows.get(&category).cloned() else {
             return self.s.effects.push(Effect::Scrap { retrieval: id });
         };
-        let turns = self.prescription.period.times(2.0);
+        let p = &terms.prescription;
+        let turns = p.period.times(2.0);
         let goal = (row.goal + work.times(row.stretch)).min(row.cut_off).min(time_left);
         let goal_at = now + goal - row.goal.times(GOAL_MARGIN) - turns;
         let cut_off_at = now + time_left - turns.times(2.0);
@@ -374,11 +409,12 @@
         let rate = self.s.callers.entry(caller).or_default();
         rate.add(now, SPAN, 1.0);
         // A caller's share is split evenly over the brokers: this one sees no other's traffic.
-        let within_share = self.prescription.callers.get(caller.0 as usize).is_none_or(|caller| {
-            let mine = caller.quota_per_s / f64::from(self.prescription.brokers.max(1));
+        let within_share = p.callers.get(&caller).is_none_or(|caller| {
+            let mine = caller.quota_per_s / f64::from(p.brokers.max(1));
             rate.count <= (mine * SPAN.as_ms() / 1000.0).max(1.0)
         });
-        self.s.hold(Retrieval::taken(id, group, category, within_share, goal, goal_at, cut_off_at));
+        let times = [goal_at, cut_off_at];
+        self.s.hold(Retrieval::taken(new, (terms, row), within_share, goal, times));
     }
 
     // ---- pushes
@@ -402,7 +438,7 @@
 
     fn push(&mut self, r: &mut Retrieval, at: usize) {
         let now = self.s.now;
-        let (goal, late_life) = (self.row(r).goal, self.row(r).late_life);
+        let (goal, late_life) = (r.row.goal, r.row.late_life);
         let further = !r.parts[at].pushes.is_empty();
         let held = further && self.kills(r);
         if held && r.weight(&[PartStage::Out]) == 0.0 || further && !self.may_push_again(r, at, true) {
@@ -412,7 +448,7 @@
         }
         let part = &mut r.parts[at];
         let may = !held && (!further || self.further_left());
-        let Some(node) = self.choose(part).filter(|_| may) else {
+        let Some(node) = self.choose(&r.terms.prescription.layout, part).filter(|_| may) else {
             // No holder may have it now, or the budget is spent: it waits while that can help.
             part.stage = if part.out() > 0 { PartStage::Out } else { PartStage::Wanted };
             return self.later(goal, Due::Again(part.id));
@@ -422,7 +458,7 @@
         let crowded = out >= self.s.room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
         let (lull, cold) = (self.line_after_lull(node), self.is_cold(node));
-        let call = self.s.board(node, self.prescription.layout.per_call, cold, lull);
+        let call = self.s.board(node, self.terms.prescription.layout.per_call, cold, lull);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out });
         self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
@@ -438,20 +474,21 @@
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
     /// turn opens no other. Close calls go to the own zone, then to a call of this turn, then by lot.
-    fn choose(&mut self, part: &Part) -> Option<NodeId> {
+    fn choose(&mut self, layout: &Layout, part: &Part) -> Option<NodeId> {
         let open = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id || p.fate != Fate::Out);
         let tried = |id: &NodeId| part.pushes.iter().any(|p| p.node == *id);
-        let usable: Vec<NodeId> = self.holders(part).filter(|id| open(id) && self.has_room(id)).collect();
+        let usable: Vec<NodeId> =
+            self.holders(layout, part).filter(|id| open(id) && self.has_room(id)).collect();
         let all_tried = usable.iter().all(tried);
         let worth = usable.iter().filter(|id| all_tried || !tried(id));
         let score = |node: &Node| {
-            let joins = node.riding.is_some_and(|(_, parts)| parts < self.prescription.layout.per_call);
+            let joins = node.riding.is_some_and(|(_, parts)| parts < self.terms.prescription.layout.per_call);
             self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
         };
         let scored: Vec<(f64, NodeId)> = worth.map(|id| (score(&self.s.nodes[id]), *id)).collect();
         let best = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
         let close = scored.iter().filter(|s| s.0 <= best * (1.0 + START)).map(|s| s.1);
-        let zone = self.prescription.zone;
+        let zone = self.terms.prescription.zone;
         let key = |id: &NodeId| (self.s.nodes[id].zone != zone, self.s.nodes[id].riding.is_none());
         let first = close.clone().map(|id| key(&id)).min()?;
         let tied: Vec<NodeId> = close.filter(|id| key(id) == first).collect();
@@ -497,13 +534,15 @@
             let heard = node.map_or(push.sent, |n| n.heard_at.max(push.sent));
             let lost = overtaken || now - heard >= self.patience(r.goal);
             let here = node.map_or(average, |n| self.latency(n)).max(now - push.sent);
-            let copies = self.prescription.limits.copies;
-            let may = copies || overtaken && self.prescription.limits.may_withdraw;
+            let limits = &r.terms.prescription.limits;
+            let may = limits.copies || overtaken && limits.may_withdraw;
             let again = lost && may && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
-            let elsewhere = self.choose(&r.parts[at]).map(|id| self.latency(&self.s.nodes[&id]));
+            let elsewhere = self
+                .choose(&r.terms.prescription.layout, &r.parts[at])
+                .map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| there < here && now + there < r.goal_at);
             if again && faster && self.further_left() {
-                if copies {
+                if limits.copies {
                     self.s.want(&mut r.parts[at]);
                 } else {
                     self.s.effects.push(Effect::Withdraw { part: id, push: no });
@@ -520,19 +559,26 @@
 
     /// Whether another push of a part would keep rule 2 and its count. `copy`: while one is out.
     fn may_push_again(&self, r: &Retrieval, at: usize, copy: bool) -> bool {
-        let (row, part) = (self.row(r), &r.parts[at]);
+        let (row, part) = (&r.row, &r.parts[at]);
         let ran = part.pushes.iter().filter(|p| p.fate == Fate::MayHaveRun || copy && p.fate == Fate::Out);
         let first = ran.map(|p| p.sent).min();
         let then = self.s.now + self.leaves_by();
         let pays = row.payoff / r.parts.len() as f64;
         let best = self.s.pays.values().map(|p| p[1]).fold(pays, f64::max).max(f64::MIN_POSITIVE);
-        let further = f64::from(self.prescription.limits.most_pushes.max(1) - 1) * pays / best;
+        let further = f64::from(r.terms.prescription.limits.most_pushes.max(1) - 1) * pays / best;
         part.pushes.len() <= (further + 0.5) as usize
-            && match (row.effect, first) {
+            && self.effects_of(r).all(|(effect, window)| match (effect, first) {
                 (_, None) | (EffectKind::Reissuable, _) => true,
-                (EffectKind::Numbered, Some(first)) => then - first <= row.repeat_window,
+                (EffectKind::Numbered, Some(first)) => then - first <= window,
                 (EffectKind::AtMostOnce, Some(_)) => false,
-            }
+            })
+    }
+
+    /// What a repeat would do, and the window: as it was taken, and as its category is now. Guards against a
+    /// change that the nodes know of already: what either forbids is not done.
+    fn effects_of<'a>(&'a self, r: &'a Retrieval) -> impl Iterator<Item = (EffectKind, Tenths)> + 'a {
+        let now = self.terms.rows.get(&r.category);
+        std::iter::once(&r.row).chain(now).map(|row| (row.effect, row.repeat_window))
     }
 
     fn push_ended(&mut self, outcome: &PushOutcome) {
@@ -575,7 +621,7 @@
             let silent = self.s.nodes.get(&ticket.node).is_none_or(|n| now - outcome.took >= n.heard_at);
             let lost = blame || outcome.end == PushEnd::Withdrawn && silent && outcome.took > average;
             self.s.lost_lines[line as usize].count(now, LONG, f64::from(u8::from(lost)), 1.0);
-            if cut_line && outcome.took <= self.prescription.period.times(2.0) {
+            if cut_line && outcome.took <= self.terms.prescription.period.times(2.0) {
                 self.s.note_dropped(lull, LONG);
             }
         }
@@ -613,7 +659,7 @@
     /// Little's law: with so many parts out this one took so long, so at the target latency there is
     /// room for fewer, or for more. It grows only where it is used.
     fn fit_room(&mut self, ticket: &Ticket, took: Tenths) {
-        let (room, most) = (self.s.room, f64::from(self.prescription.limits.most_open.max(1)));
+        let (room, most) = (self.s.room, f64::from(self.terms.prescription.limits.most_open.max(1)));
         let ratio = ticket.goal.times(ROOM_TARGET).over(took).min(ROOM_GROW);
         let fits = if ratio < 1.0 { ticket.out.min(room) * ratio } else { room * ratio };
         if ratio < 1.0 || ticket.crowded {
@@ -623,8 +669,8 @@
 
     // ---- nodes
 
-    fn holders<'a>(&'a self, part: &Part) -> impl Iterator<Item = NodeId> + 'a {
-        let ids = self.prescription.layout.cells_of(part.shard).filter_map(|cell| self.s.holders.get(&cell));
+    fn holders<'a>(&'a self, layout: &'a Layout, part: &Part) -> impl Iterator<Item = NodeId> + 'a {
+        let ids = layout.cells_of(part.shard).filter_map(|cell| self.s.holders.get(&cell));
         ids.flatten().copied()
     }
 
@@ -646,11 +692,12 @@
     }
 
     fn shortest_goal(&self) -> Tenths {
-        self.rows.iter().map(|row| row.goal).min().unwrap_or(SPAN)
+        self.terms.shortest_goal.unwrap_or(SPAN)
     }
 
     fn is_cold(&self, id: NodeId) -> bool {
-        let warm_after = self.prescription.rules.warm_after;
+        let warm_after =
+            self.binding().map(|terms| terms.prescription.rules.warm_after).max().unwrap_or_default();
         self.s.nodes[&id].started.is_some_and(|at| self.s.now - at < warm_after)
     }
 
@@ -658,15 +705,18 @@
     /// one part at a time at the lowest average latency, times the share it has warmed to at the least. While
     /// it fails again and again, as one that refuses connections, it gets one push a window.
     fn has_room(&self, id: &NodeId) -> bool {
-        let node = &self.s.nodes[id];
-        if !self.is_cold(*id) {
+        !self.is_cold(*id) || self.binding().all(|terms| self.bears(&self.s.nodes[id], &terms.prescription))
+    }
+
+    fn bears(&self, node: &Node, terms: &Prescription) -> bool {
+        let rules = &terms.rules;
+        let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
+        if age >= 1.0 {
             return true;
         }
-        let rules = &self.prescription.rules;
-        let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
         let share = rules.cold_share + (1.0 - rules.cold_share) * age;
         let alone = rules.fall_window.over(self.s.briskest.unwrap_or(self.average()));
-        let mine = rules.fall_multiple * share * alone / f64::from(self.prescription.brokers.max(1));
+        let mine = rules.fall_multiple * share * alone / f64::from(terms.brokers.max(1));
         // Under one push a window: the window is taken longer.
         let window = rules.fall_window.times(1.0 / mine.clamp(0.001, 1.0));
         let since = self.s.now - window;
@@ -687,14 +737,14 @@
     fn follow_roll(&mut self) {
         if self.s.roll_silent {
             self.s.effects.push(Effect::FollowRoll);
-            let wait = self.prescription.rules.ask_within.max(SPAN).times(0.5);
+            let wait = self.terms.prescription.rules.ask_within.max(SPAN).times(0.5);
             self.s.agenda.insert((self.s.now + wait, Due::FollowRoll));
         }
     }
 
     /// The roll's service is shared and finite: each failure doubles the wait, and lots are drawn.
     fn roll_failed(&mut self) {
-        let wait = self.prescription.rules.ask_within.max(SPAN).times(AGAIN);
+        let wait = self.terms.prescription.rules.ask_within.max(SPAN).times(AGAIN);
         let doubled = wait.times(f64::from(1 << self.s.roll_failures.min(4)) * (0.5 + self.rng.f64()));
         (self.s.roll_failures, self.s.roll_silent) = (self.s.roll_failures + 1, true);
         self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
@@ -704,21 +754,17 @@
     /// Guards against pushes that wait for a connection and reach their node in another window than their
     /// turn's: two turns, and what the front may need to send one. Harm: a few further pushes less.
     fn leaves_by(&self) -> Tenths {
-        self.prescription.period.times(2.0) + self.prescription.send_lag
-    }
-
-    fn row(&self, r: &Retrieval) -> &CategoryRow {
-        &self.rows[r.category.0 as usize]
+        self.terms.prescription.period.times(2.0) + self.terms.prescription.send_lag
     }
 
     fn is_whole(&self, r: &Retrieval) -> bool {
         let all_in = r.parts.iter().all(|p| p.stage == PartStage::In);
-        let enough = r.weight(&[PartStage::In]) + ROUNDING >= self.row(r).whole;
+        let enough = r.weight(&[PartStage::In]) + ROUNDING >= r.row.whole;
         if r.second_step { r.first_whole && all_in } else { enough }
     }
 
     fn reaches_least(&self, r: &Retrieval, sum: f64) -> bool {
-        let &CategoryRow { least, whole, .. } = self.row(r);
+        let &CategoryRow { least, whole, .. } = &*r.row;
         sum + ROUNDING >= if r.second_step && least >= whole { 1.0 } else { least }
     }
 
@@ -736,9 +782,15 @@
         1.0 + (FULL_BASE - 1.0) * ((pressure - START) / (1.0 - START)).max(0.0)
     }
 
-    /// Rule 6, and the broker's own restraint: in any window a few, plus a share of what was taken.
+    /// Rule 6, and the broker's own restraint: in any window a few, plus a share of what was taken. What was
+    /// taken counts over a window shorter by the way to a node, further pushes over a longer.
     fn further_left(&self) -> bool {
-        (self.s.further.len() + 1) as f64
-            <= self.further.floor + self.further.share * self.s.taken.len() as f64
+        let slack = self.leaves_by();
+        self.binding().all(|Terms { further, .. }| {
+            let since = self.s.now - further.window;
+            let taken = self.s.taken.len() - self.s.taken.partition_point(|at| *at < since + slack);
+            let spent = self.s.further.len() - self.s.further.partition_point(|f| f.0 < since - slack);
+            (spent + 1) as f64 <= further.floor + further.share * taken as f64
+        })
     }
 }
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -1,9 +1,12 @@
 //! What a broker is handed when it starts: how the service is to be served.
 
-use crate::ids::{CellNo, ShardNo, ZoneNo};
+use crate::ids::{CallerNo, CategoryNo, CellNo, ShardNo, ZoneNo};
 use crate::time::Tenths;
+use std::collections::BTreeMap;
 
-/// Everything a broker is told at its start. It does not change while the broker runs.
+/// Everything a broker is told at its start, and anew with `Input::Prescription`. A prescription itself never
+/// changes: a retrieval keeps the one under which it was taken. Numbers of categories and callers stay with
+/// what they name for as long as the broker runs: one that is struck from a prescription leaves a gap.
 #[derive(Clone, Debug, Default)]
 pub struct Prescription {
     /// How many brokers serve together.
@@ -13,8 +16,8 @@
     pub period: Tenths,
     /// The longest that a push may take from its turn to its node.
     pub send_lag: Tenths,
-    pub categories: Vec<Category>,
-    pub callers: Vec<Caller>,
+    pub categories: BTreeMap<CategoryNo, Category>,
+    pub callers: BTreeMap<CallerNo, Caller>,
     /// A retrieval beyond its caller's share earns this part of its payoff.
     pub over_share_payoff: f64,
     pub layout: Layout,
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -5,10 +5,11 @@
 use crate::ids::{
     CallNo, CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
 };
-use crate::inputs::{NewPart, Roll, RollEntry, RollKind, Standing};
-use crate::prescription::EffectKind;
+use crate::inputs::{NewPart, NewRetrieval, Roll, RollEntry, RollKind, Standing};
+use crate::prescription::{EffectKind, FurtherBudget, Prescription};
 use crate::time::Tenths;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
 
 /// What is known of a push's effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,6 +112,9 @@
     pub id: RetrievalId,
     pub group: GroupNo,
     pub category: CategoryNo,
+    /// Those under which it was taken, to its end.
+    pub terms: Arc<Terms>,
+    pub row: Arc<CategoryRow>,
     pub within_share: bool,
     pub stage: Stage,
     /// Its goal time, or what its caller will wait if that is less.
@@ -181,7 +185,17 @@
     pub all: Fading,
 }
 
-/// What a category's row holds, worked out once from the prescription.
+/// A prescription, and what decisions read of it, worked out once.
+#[derive(Debug, Default)]
+pub struct Terms {
+    pub prescription: Prescription,
+    pub rows: BTreeMap<CategoryNo, Arc<CategoryRow>>,
+    pub further: FurtherBudget,
+    pub shortest_goal: Option<Tenths>,
+}
+
+/// What a category's row holds.
+#[derive(Debug)]
 pub struct CategoryRow {
     pub goal: Tenths,
     pub stretch: f64,
@@ -269,6 +283,8 @@
     /// No word of the roll has come since it was last asked for.
     pub roll_silent: bool,
     pub roll_failures: u32,
+    /// Terms that are no longer the newest, and until when they still bind: a window of theirs reaches back.
+    pub past: Vec<(Tenths, Arc<Terms>)>,
 }
 
 // What follows keeps the books; it decides nothing.
@@ -276,30 +292,28 @@
 impl Retrieval {
     /// As it is taken, before its parts are in hand.
     pub fn taken(
-        id: RetrievalId,
-        group: GroupNo,
-        category: CategoryNo,
+        new: &NewRetrieval,
+        (terms, row): (Arc<Terms>, Arc<CategoryRow>),
         within_share: bool,
         goal: Tenths,
-        goal_at: Tenths,
-        cut_off_at: Tenths,
+        [goal_at, cut_off_at]: [Tenths; 2],
     ) -> Retrieval {
-        let (stage, second_step, first_whole) = (Stage::Taken, false, false);
-        let (fallen, scouting, parts) = (BTreeSet::new(), false, Vec::new());
         Retrieval {
-            id,
-            group,
-            category,
+            id: new.id,
+            group: new.group,
+            category: new.category,
+            terms,
+            row,
             within_share,
-            stage,
+            stage: Stage::Taken,
             goal,
             goal_at,
             cut_off_at,
-            second_step,
-            first_whole,
-            fallen,
-            scouting,
-            parts,
+            second_step: false,
+            first_whole: false,
+            fallen: BTreeSet::new(),
+            scouting: false,
+            parts: Vec::new(),
         }
     }
 
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -53,8 +53,12 @@
             "lag" => p.send_lag = Tenths::from_ms(words[1].parse().unwrap()),
             "brokers" => p.brokers = words[1].parse().unwrap(),
             "category" => {
-                self.names.push(words[1].to_owned());
-                p.categories.push(Category {
+                let known = self.names.iter().position(|name| name == words[1]);
+                let no = known.unwrap_or_else(|| {
+                    self.names.push(words[1].to_owned());
+                    self.names.len() - 1
+                });
+                let category = Category {
                     goal_time: span(&words, "goal", 1000.0),
                     goal_stretch: value(&words, "stretch", 0.0),
                     cut_off: span(&words, "cut-off", 3000.0),
@@ -69,9 +73,23 @@
                         _ => EffectKind::Reissuable,
                     },
                     repeat_window: span(&words, "window", 0.0),
-                });
+                };
+                p.categories.insert(CategoryNo(no as u16), category);
+            }
+            "strike" => {
+                let no = self.names.iter().position(|name| name == words[1]).unwrap();
+                p.categories.remove(&CategoryNo(no as u16));
+            }
+            "caller" => {
+                let no = value(&words, "no", p.callers.len() as u32);
+                p.callers.insert(CallerNo(no), Caller { quota_per_s: words[1].parse().unwrap() });
+            }
+            "no-caller" => _ = p.callers.remove(&CallerNo(words[1].parse().unwrap())),
+            // What was said of the prescription since is in force from here on.
+            "prescribe" => {
+                self.done.clear();
+                self.inputs.push(Input::Prescription(Box::new(p.clone())));
             }
-            "caller" => p.callers.push(Caller { quota_per_s: words[1].parse().unwrap() }),
             "layout" => {
                 p.layout = Layout {
                     cells: value(&words, "cells", 1),
@@ -162,7 +180,7 @@
                 let (category, caller) = (CategoryNo(category as u16), CallerNo(value(&words, "caller", 0)));
                 let (time_left, work) = (span(&words, "left", 3000.0), span(&words, "work", 0.0));
                 self.open.insert(rid);
-                if self.prescription.categories.get(category.0 as usize).is_some_and(|c| c.second_parts > 0) {
+                if self.prescription.categories.get(&category).is_some_and(|c| c.second_parts > 0) {
                     self.leading_on.insert(rid);
                 }
                 self.inputs.push(Input::Retrieval(NewRetrieval {
--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -1,15 +1,17 @@
 //! The desk: owns the module, its clock and its wake-ups, and knows by which ids it calls things.
 
+use crate::edition::Edition;
 use crate::frame::CalledPart;
 use crate::limits::{Limits, span};
+use crate::listing::Listing;
 use crate::nodes::{Ended, Nodes, PushId, Sending};
-use crate::roll::Listing;
 use barleydrum::{
     Broker, CallerNo, CategoryNo, CellNo, Effect, GroupNo, Input, NewPart, NewRetrieval, NodeId, PartId,
     Prescription, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo, Standing,
     Tenths, ZoneNo,
 };
 use bytes::Bytes;
+use intake::Intake;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
@@ -58,6 +60,12 @@
 
 struct Open {
     id: Bytes,
+    /// The one under which it was taken, to its end.
+    edition: Rc<Edition>,
+    /// When its goal time is over.
+    goal_at: Tenths,
+    /// A push of it found its node down, or lost its connection.
+    fell: bool,
     until: Tenths,
     parts: Vec<PartId>,
     text: Bytes,
@@ -73,6 +81,24 @@
     value: Option<Bytes>,
 }
 
+impl Open {
+    /// Counts its end under its edition.
+    fn count(&self, verdict: &Verdict, now: Tenths) {
+        let late = now > self.goal_at;
+        self.edition.count(|tally| {
+            tally.ended += 1;
+            let badly = match verdict {
+                Verdict::Answer { .. } if late => &mut tally.late,
+                Verdict::Answer { .. } => return,
+                Verdict::Decline { .. } => &mut tally.declined,
+                Verdict::Scrap => &mut tally.scrapped,
+            };
+            *badly += 1;
+            tally.by_nodes += u64::from(self.fell);
+        });
+    }
+}
+
 /// Retrievals and parts that are open, and what the wire calls them.
 #[derive(Default)]
 struct Book {
@@ -137,6 +163,7 @@
     book: RefCell<Book>,
     pushes: RefCell<Pushes>,
     names: RefCell<Names>,
+    edition: RefCell<Rc<Edition>>,
     wake_at: Cell<Option<Tenths>>,
     bell: Notify,
     ready: Cell<bool>,
@@ -145,7 +172,9 @@
 }
 
 impl Desk {
-    pub fn new(prescription: Prescription, zones: Vec<String>, seed: u64, limits: Rc<Limits>) -> Rc<Desk> {
+    pub fn new(intake: Intake, seed: u64, limits: Rc<Limits>) -> Rc<Desk> {
+        let edition = Rc::new(Edition::new(0, &intake));
+        let Intake { prescription, zones, .. } = intake;
         // The roll tells starts in Unix time, so the clock counts from there, and only ever forward.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let now = Tenths((unix.as_micros() / 100) as i64);
@@ -158,6 +187,7 @@
             book: RefCell::default(),
             pushes: RefCell::default(),
             names: RefCell::new(Names { zones, ..Names::default() }),
+            edition: RefCell::new(edition),
             wake_at: Cell::default(),
             bell: Notify::new(),
             ready: Cell::default(),
@@ -189,14 +219,29 @@
         self.book.borrow().retrievals.len()
     }
 
+    /// The edition under which retrievals are taken now.
+    pub fn edition(&self) -> Rc<Edition> {
+        self.edition.borrow().clone()
+    }
+
+    /// Takes retrievals under a new edition from now on. Both change in one step: what a front has read under
+    /// the old one has been heard before this, what it reads from now on is heard after.
+    pub fn prescribe(&self, edition: Edition, prescription: Prescription) {
+        self.edition.replace(Rc::new(edition));
+        self.hear(Input::Prescription(Box::new(prescription)));
+    }
+
     /// Takes a retrieval, unless a bound is reached. Dropping what comes back tells that the caller left.
     pub fn take(self: &Rc<Self>, question: Question) -> Result<Taken, NotTaken> {
+        let edition = self.edition();
         let mut book = self.book.borrow_mut();
         let bytes = question.id.len() * (question.parts.len() + 1) + question.holds;
         // Guards against wide retrievals that are all but answered and keep others out: a part that has its
         // value is no longer open, though its retrieval is.
         let held = book.retrievals.len() + book.lacking;
-        if held + question.parts.len() + 1 > self.limits.most_open || book.bytes + bytes > self.limits.held {
+        if held + question.parts.len() + 1 > edition.most_open || book.bytes + bytes > self.limits.held {
+            edition
+                .count(|tally| (tally.ended, tally.turned_away) = (tally.ended + 1, tally.turned_away + 1));
             return Err(NotTaken::Full);
         }
         if !book.wire_ids.insert(question.id.clone()) {
@@ -212,6 +257,9 @@
         let parts: Vec<PartId> = question.parts.iter().map(|_| PartId(next())).collect();
         let group = GroupNo(id.0 as u32);
         let until = self.tenths(question.until);
+        let category = edition.categories.get(&question.category);
+        let goal = category.map_or(Tenths::ZERO, |c| c.goal_time + question.work.times(c.goal_stretch));
+        let (goal_at, fell) = (self.tenths(Instant::now()) + goal, false);
         let mut heard = self.heard.borrow_mut();
         heard.push(Input::Retrieval(NewRetrieval {
             id,
@@ -228,7 +276,7 @@
         }
         let (tell, verdict) = oneshot::channel();
         let Question { id: wire_id, text, .. } = question;
-        let open = Open { id: wire_id, until, parts, text, bytes, tell };
+        let open = Open { id: wire_id, edition, goal_at, fell, until, parts, text, bytes, tell };
         book.retrievals.insert(id, open);
         self.bell.notify_one();
         Ok(Taken { desk: self.clone(), id, verdict })
@@ -345,11 +393,20 @@
                 continue;
             };
             let end = if self.keep_value(part, value) { end } else { PushEnd::Errored };
+            if matches!(end, PushEnd::NoConnection | PushEnd::Dropped) {
+                self.note_fall(part);
+            }
             let took = self.tenths(at) - sent;
             self.heard.borrow_mut().push(Input::Outcome(PushOutcome { part, push, node, end, took }));
         }
     }
 
+    fn note_fall(&self, part: PartId) {
+        let mut book = self.book.borrow_mut();
+        let Some(id) = book.parts.get(&part).map(|part| part.retrieval) else { return };
+        book.retrievals.get_mut(&id).into_iter().for_each(|open| open.fell = true);
+    }
+
     /// Keeps a value for its retrieval, if that is still open and there is room for it.
     fn keep_value(&self, part: PartId, value: Option<Bytes>) -> bool {
         let Some(value) = value else { return true };
@@ -493,8 +550,10 @@
 
     fn tell(&self, id: RetrievalId, verdict: impl FnOnce(Vec<(ShardNo, Bytes)>) -> Verdict) {
         if let Some((open, items)) = self.close(id) {
+            let verdict = verdict(items);
+            open.count(&verdict, self.tenths(Instant::now()));
             // One who has just left hears nothing.
-            let _ = open.tell.send(verdict(items));
+            let _ = open.tell.send(verdict);
         }
     }
 }
@@ -538,7 +597,6 @@
 mod tests {
     use super::*;
     use crate::limits::Machine;
-    use intake::Intake;
     use rstest::rstest;
 
     /// A turn may push a part and end its retrieval: then the part stays unsent, and is told to.
@@ -551,7 +609,7 @@
             let mut intake = Intake::default();
             intake.prescription.limits.most_open = 10;
             let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
-            let desk = Desk::new(intake.prescription, Vec::new(), 1, Rc::new(limits));
+            let desk = Desk::new(intake, 1, Rc::new(limits));
             let address = "127.0.0.1:9".parse().unwrap();
             desk.nodes.listens(NodeId(1), Some(address), true);
             let parts = vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }];
--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -325,7 +325,7 @@
         }
         if allowed == Method::POST {
             return match line.surplus {
-                true => decline(self.counter.limits.stay_away),
+                true => decline(self.counter.desk.edition().stay_away),
                 false => {
                     let whole = || line.whole.set(true);
                     let response = retrieval::serve(&self.counter, request, arrived, whole).await;
@@ -431,13 +431,11 @@
 
     /// A front that knows no node, and keeps so many idle connections.
     fn front(kept_lines: usize) -> Rc<Front> {
-        let Intake { prescription, names, .. } = Intake::default();
         let machine = Machine { memory_mb: 192, sockets: 1024 };
         let limits = Limits::new(machine, &Intake::default()).unwrap();
         let limits = Rc::new(Limits { kept_lines, ..limits });
-        let desk = Desk::new(prescription, Vec::new(), 1, limits.clone());
-        let wrongs = Default::default();
-        Front::new(Counter { desk, names, categories: Vec::new(), shards: 1, limits, wrongs })
+        let desk = Desk::new(Intake::default(), 1, limits.clone());
+        Front::new(Counter { desk, limits, wrongs: Default::default() })
     }
 
     /// A request that comes as its connection is let go stays unread, and so its client sends it again.
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -13,10 +13,12 @@
 //! [`desk::Question`], hands it to [`desk::Desk::take`] and waits for the [`desk::Verdict`].
 
 pub mod desk;
+pub mod edition;
 pub mod frame;
 pub mod front;
 mod leave;
 pub mod limits;
+pub mod listing;
 pub mod nodes;
 mod reload;
 pub mod retrieval;
@@ -57,17 +59,14 @@
     let listener = TcpListener::bind(order.listen).await?;
     let listens = listener.local_addr()?;
     let limits = Rc::new(order.limits);
-    let (prescription, names) = (order.intake.prescription, order.intake.names);
-    let (shards, categories) = (prescription.layout.shards, prescription.categories.clone());
-    if categories.iter().any(|category| category.second_parts > 0) {
+    if order.intake.prescription.categories.values().any(|category| category.second_parts > 0) {
         warn!("a category has a second step, which this protocol lacks: its retrievals are declined");
     }
-    let desk = Desk::new(prescription, names.zones.clone(), order.seed, limits.clone());
+    let desk = Desk::new(order.intake, order.seed, limits.clone());
     if let Some(known) = order.known {
         desk.hear_roll(RollKind::Remembered, known);
     }
-    let (limits_too, wrongs) = (limits.clone(), Wrongs::default());
-    let counter = Counter { desk: desk.clone(), names, categories, shards, limits: limits_too, wrongs };
+    let counter = Counter { desk: desk.clone(), limits: limits.clone(), wrongs: Wrongs::default() };
     let front = Front::new(counter);
     actix_rt::spawn(desk.clone().run());
     let (discovery, place) = watch::channel(order.discovery);
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -20,8 +20,6 @@
     pub kept_lines: usize,
     /// Connections to nodes.
     pub node_lines: usize,
-    /// Retrievals and parts held at once.
-    pub most_open: usize,
     /// Bytes of questions and values held at once.
     pub held: usize,
     /// Bytes of a request's head.
@@ -59,8 +57,6 @@
     pub linger_bytes: usize,
     /// Wrong requests in a row after which a connection is closed.
     pub wrong: usize,
-    /// What a client is told that is declined at a bound, where clients are told when to come again.
-    pub stay_away: Tenths,
     /// How long a client's connection may stand idle.
     pub keep_alive: Duration,
     /// How often peers are looked over.
@@ -101,8 +97,6 @@
         let p = &intake.prescription;
         let line_parts = intake.lines.parts.unwrap_or(1).max(1) as usize;
         let connect = intake.lines.connect.unwrap_or(Tenths::from_ms(1000.0));
-        let goal = p.categories.iter().map(|category| category.goal_time).min().unwrap_or_default();
-        let stay_away = goal.min(p.limits.longest_stay_away);
         let watch = (span(p.rules.ask_within) / 10).clamp(Duration::from_secs(1), Duration::from_secs(5));
         let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
         Ok(Limits {
@@ -111,7 +105,6 @@
             // Callers hold a third of the descriptors at the most; idle ones must leave them some of it.
             kept_lines: (sockets / 5).min(lines / 2),
             node_lines: (for_peers / 3).min(quarter / BUFFERS),
-            most_open: p.limits.most_open as usize,
             held: quarter,
             head: 16 * KIB,
             body: 64 * KIB,
@@ -133,7 +126,6 @@
             linger: Duration::from_secs(1),
             linger_bytes: 256 * KIB,
             wrong: 16,
-            stay_away: if p.limits.stay_away { stay_away } else { Tenths::ZERO },
             keep_alive: Duration::from_secs(60),
             sweep: Duration::from_millis(250),
             longest_wait: Duration::from_secs(600),
--- a/crates/broker/src/retrieval.rs
+++ b/crates/broker/src/retrieval.rs
@@ -1,13 +1,13 @@
 //! The life of one retrieval on a socket, from its request to its answer.
 
 use crate::desk::{Desk, NotTaken, Question, QuestionPart, Verdict};
+use crate::edition::Edition;
 use crate::limits::Limits;
 use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER, UPGRADE};
 use actix_http::{HttpMessage, Request, Response, ResponseBuilder, StatusCode};
-use barleydrum::{CallerNo, Category, CategoryNo, EffectKind, ShardNo, Tenths};
+use barleydrum::{CallerNo, CategoryNo, EffectKind, ShardNo, Tenths};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use intake::Names;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 use std::cell::RefCell;
@@ -60,9 +60,6 @@
 /// What a retrieval is served with.
 pub struct Counter {
     pub desk: Rc<Desk>,
-    pub names: Names,
-    pub categories: Vec<Category>,
-    pub shards: u32,
     pub limits: Rc<Limits>,
     pub wrongs: Wrongs,
 }
@@ -112,24 +109,26 @@
     if told > limits.body {
         return counter.bad(StatusCode::PAYLOAD_TOO_LARGE, "a body that is too long");
     }
-    let Some(held) = desk.hold(told) else { return decline(limits.stay_away) };
+    let Some(held) = desk.hold(told) else { return decline(desk.edition().stay_away) };
     let body = match timeout_at(arrived + limits.slow_client, read_body(&mut request, limits.body)).await {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => return counter.bad(status, "a body that is too long or breaks off"),
         Err(_) => return counter.bad(StatusCode::REQUEST_TIMEOUT, "a body that does not come"),
     };
     whole();
-    let question = match read_question(counter, &request, &body, arrived) {
+    // One edition from here to the hand-over; nothing is waited for in between.
+    let edition = desk.edition();
+    let question = match read_question(limits, &edition, &request, &body, arrived) {
         Ok(question) => question,
         Err(why) => return counter.bad(StatusCode::BAD_REQUEST, why),
     };
     drop((held, body));
-    if !can_be_carried(counter, &request, question.category) {
-        return decline(limits.stay_away);
+    if !can_be_carried(&edition, &request, question.category) {
+        return decline(edition.stay_away);
     }
     let verdict = match desk.take(question) {
         Ok(taken) => taken.verdict().await,
-        Err(NotTaken::Full) => Verdict::Decline { stay_away: limits.stay_away },
+        Err(NotTaken::Full) => Verdict::Decline { stay_away: edition.stay_away },
         Err(NotTaken::Known) => return counter.bad(StatusCode::BAD_REQUEST, "an id that is open already"),
     };
     match verdict {
@@ -142,8 +141,8 @@
 /// Guards against effects twice, and answers less than they say: a numbered retrieval's mark has no place in
 /// a call, so what brings one is not sent without it; and there is no second step, without which an answer
 /// of a category that has one holds nothing.
-fn can_be_carried(counter: &Counter, request: &Request, category: CategoryNo) -> bool {
-    counter.categories.get(category.0 as usize).is_some_and(|category| {
+fn can_be_carried(edition: &Edition, request: &Request, category: CategoryNo) -> bool {
+    edition.categories.get(&category).is_some_and(|category| {
         let marked = category.effect == EffectKind::Numbered && request.headers().contains_key(MARK);
         !marked && category.second_parts == 0
     })
@@ -175,7 +174,8 @@
 
 /// Takes out the fields that decide; the text that parts carry stays the bytes that came.
 fn read_question(
-    counter: &Counter,
+    limits: &Limits,
+    edition: &Edition,
     request: &Request,
     body: &Bytes,
     arrived: Instant,
@@ -186,29 +186,34 @@
     }
     let header = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
     let id = header(ID).ok_or("no id")?;
-    if id.is_empty() || id.len() > counter.limits.id || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+    if id.is_empty() || id.len() > limits.id || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
         return Err("an id that can't be passed on");
     }
-    let category = header(CATEGORY).ok_or("no category")?;
-    let category = counter.names.categories.iter().position(|name| name == category);
-    let category = CategoryNo(category.ok_or("an unknown category")? as u16);
+    let unknown = |why| {
+        // Counted, unlike what else is wrong: a new edition may have struck what its clients still ask for.
+        edition.count(|tally| (tally.ended, tally.turned_away) = (tally.ended + 1, tally.turned_away + 1));
+        why
+    };
+    let category = edition.names.category(header(CATEGORY).ok_or("no category")?);
+    let category = category.filter(|category| edition.categories.contains_key(category));
+    let category = category.ok_or_else(|| unknown("an unknown category"))?;
     // A caller that the settings do not name has no share of its own.
-    let caller = header(CALLER).map_or(Some(0), |c| counter.names.callers.iter().position(|name| name == c));
-    let caller = CallerNo(caller.map_or(u32::MAX, |caller| caller as u32));
+    let caller = header(CALLER).map_or(Some(CallerNo(0)), |caller| edition.names.caller(caller));
+    let caller = caller.unwrap_or(CallerNo(u32::MAX));
     let digits = header(TIME_LEFT).filter(|text| text.bytes().all(|byte| byte.is_ascii_digit()));
     let time_left: u64 = digits.and_then(|text| text.parse().ok()).ok_or("no time left told")?;
-    let time_left = Duration::from_millis(time_left).min(counter.limits.longest_wait);
+    let time_left = Duration::from_millis(time_left).min(limits.longest_wait);
     let asked: Asked = serde_json::from_slice(body).map_err(|_| "a body that can't be read")?;
     let shards: BTreeSet<u32> = asked.parts.iter().map(|part| part.shard).collect();
     if shards.is_empty() || shards.len() < asked.parts.len() {
         return Err("no parts, or one twice");
     }
-    if shards.last().is_some_and(|shard| *shard >= counter.shards) {
-        return Err("an unknown shard");
+    if shards.last().is_some_and(|shard| *shard >= edition.shards) {
+        return Err(unknown("an unknown shard"));
     }
     let sum: f64 = asked.parts.iter().map(|part| part.weight).sum();
     let sound = asked.parts.iter().all(|part| (0.0..=1.0).contains(&part.weight));
-    if !sound || (sum - 1.0).abs() > counter.limits.weight_slack {
+    if !sound || (sum - 1.0).abs() > limits.weight_slack {
         return Err("weights that do not make a whole");
     }
     let work: Option<f64> = asked.parts.iter().map(|part| part.work_us).sum();
--- a/crates/broker/src/roll.rs
+++ b/crates/broker/src/roll.rs
@@ -2,59 +2,15 @@
 
 use crate::desk::Desk;
 use crate::limits::Limits;
+use crate::listing::Listing;
 use awc::Client;
-use barleydrum::{RollKind, Standing};
-use serde::Deserialize;
+use barleydrum::RollKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tracing::warn;
 
-/// Nodes as discovery lists them: all, or those that changed.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Listing {
-    pub revision: u64,
-    #[serde(rename = "complete")]
-    pub all: bool,
-    #[serde(rename = "members")]
-    pub nodes: Vec<ListedNode>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct ListedNode {
-    #[serde(rename = "id")]
-    pub name: String,
-    #[serde(rename = "host_port")]
-    pub address: SocketAddr,
-    #[serde(rename = "locality")]
-    pub zone: String,
-    pub cell: u32,
-    #[serde(rename = "phase")]
-    pub standing: ListedStanding,
-    /// In Unix time; 0 for long ago.
-    #[serde(rename = "up_since_ms", default)]
-    pub started_ms: f64,
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum ListedStanding {
-    Ready,
-    Draining,
-    Gone,
-}
-
-impl From<ListedStanding> for Standing {
-    fn from(listed: ListedStanding) -> Standing {
-        match listed {
-            ListedStanding::Ready => Standing::Ready,
-            ListedStanding::Draining => Standing::Draining,
-            ListedStanding::Gone => Standing::Gone,
-        }
-    }
-}
-
 /// Each time that the desk asks for it, follows the roll until a call fails, and says so. Where discovery has
 /// moved, the old watch is dropped and the new place is asked for all nodes at once.
 pub async fn follow(desk: Rc<Desk>, limits: Rc<Limits>, mut discovery: watch::Receiver<SocketAddr>) {
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -1,7 +1,7 @@
 //! What the broker is told when it starts: the environment and the config file.
 
 use crate::limits::{Limits, Machine};
-use crate::roll::Listing;
+use crate::listing::Listing;
 use intake::Intake;
 use serde::Deserialize;
 use serde_json::value::RawValue;
--- /dev/null
+++ b/crates/intake/src/catalogue.rs
@@ -0,0 +1,79 @@
+//! Which number a category or a caller has. A number, once given, stays with its name for as long as the
+//! broker runs, through all versions of its prescription, and is never given to another: what the module
+//! remembers by number goes by meaning.
+
+use barleydrum::{CallerNo, CategoryNo};
+use std::collections::BTreeMap;
+
+/// Names with their numbers. Those that are no longer in use keep theirs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Catalogue {
+    categories: Numbers,
+    callers: Numbers,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Numbers {
+    known: BTreeMap<String, usize>,
+    next: usize,
+}
+
+impl Numbers {
+    /// In the order of a list; of two with one name the first has it.
+    fn in_order<'a>(names: impl Iterator<Item = &'a str>) -> Numbers {
+        let mut numbers = Numbers::default();
+        for name in names {
+            numbers.known.entry(name.to_owned()).or_insert(numbers.next);
+            numbers.next += 1;
+        }
+        numbers
+    }
+
+    fn add(&mut self, name: &str) {
+        if !self.known.contains_key(name) {
+            self.known.insert(name.to_owned(), self.next);
+            self.next += 1;
+        }
+    }
+}
+
+impl Catalogue {
+    pub fn in_order<'a>(
+        categories: impl Iterator<Item = &'a str>,
+        callers: impl Iterator<Item = &'a str>,
+    ) -> Catalogue {
+        Catalogue { categories: Numbers::in_order(categories), callers: Numbers::in_order(callers) }
+    }
+
+    /// The same, and a number for each name that has none.
+    pub(crate) fn with<'a>(
+        &self,
+        categories: impl Iterator<Item = &'a str>,
+        callers: impl Iterator<Item = &'a str>,
+    ) -> Catalogue {
+        let mut more = self.clone();
+        categories.for_each(|name| more.categories.add(name));
+        callers.for_each(|name| more.callers.add(name));
+        more
+    }
+
+    pub fn category(&self, name: &str) -> Option<CategoryNo> {
+        self.categories.known.get(name).map(|no| CategoryNo(*no as u16))
+    }
+
+    pub fn caller(&self, name: &str) -> Option<CallerNo> {
+        self.callers.known.get(name).map(|no| CallerNo(*no as u32))
+    }
+
+    pub(crate) fn category_at(&self, name: &str) -> usize {
+        self.categories.known.get(name).copied().unwrap_or(usize::MAX)
+    }
+
+    pub(crate) fn caller_at(&self, name: &str) -> usize {
+        self.callers.known.get(name).copied().unwrap_or(usize::MAX)
+    }
+
+    pub fn categories(&self) -> impl Iterator<Item = (&str, CategoryNo)> {
+        self.categories.known.iter().map(|(name, no)| (&name[..], CategoryNo(*no as u16)))
+    }
+}
--- /dev/null
+++ b/crates/intake/src/tests.rs
@@ -0,0 +1,193 @@
+use super::*;
+use barleydrum::CategoryNo;
+use rstest::rstest;
+use serde_json::{Value, json};
+
+/// A sound document.
+fn sound() -> Value {
+    json!({"Instances": 3, "Zone": 1, "Me": 2, "PeriodMs": 5.0, "RegistryMode": "automatic",
+        "Areas": ["north", "south"],
+        "Tenants": [{"Name": "clinic", "QuotaRps": 2.5}, {"Name": "school", "QuotaRps": 5}],
+        "Services": [
+            {"Name": "report", "OnTimeMs": 2000.0, "DeadlineMs": 5000.0, "Worth": 3.0, "Effect": "deduplicated",
+                "DedupWindowMs": 5000},
+            {"Name": "lookup", "OnTimeMs": 2000.0, "DeadlineMs": 5000.0, "Worth": 1.0, "Effect": "idempotent"}],
+        "Domain": {"Cells": 4, "Reach": 2, "Ranges": 8, "CompleteFrom": [1.0, 1.0], "MinShare": [0.4, 1.0]},
+        "Limits": {"MaxAttempts": 3, "MaxOpen": 111, "ConnIdleMs": 15000.0, "StreamsPerConn": 32},
+        "Rules": {"ColdFrom": 0.2, "WarmUpMs": 17000, "OverloadFactor": 3, "OverloadForMs": 1000},
+        "Stats": {"Fields": ["queue"]}})
+}
+
+fn document(value: &Value) -> Document {
+    Document::parse(value.to_string().as_bytes(), 1 << 20).unwrap()
+}
+
+/// With what stands at a JSON pointer changed; `null` strikes it.
+fn with(pointer: &str, to: Value) -> Value {
+    let mut value = sound();
+    let (parent, key) = pointer.rsplit_once('/').unwrap();
+    match value.pointer_mut(parent).unwrap() {
+        Value::Object(all) if to.is_null() => _ = all.remove(key),
+        Value::Object(all) => _ = all.insert(key.to_owned(), to),
+        Value::Array(all) => all[key.parse::<usize>().unwrap()] = to,
+        _ => unreachable!(),
+    }
+    value
+}
+
+#[rstest]
+fn reads_what_a_broker_and_its_front_need() {
+    let text = with("/Surprise", json!([1])).to_string();
+    let Intake { prescription: read, names, zones, lines } = super::read(text.as_bytes()).unwrap();
+    assert_eq!((read.period, read.limits.most_open, read.roll_on_request), (Tenths(50), 111, false));
+    let category = &read.categories[&CategoryNo(0)];
+    assert_eq!((category.effect, category.least_share), (EffectKind::Numbered, 0.4));
+    assert!(read.rules.further.is_none());
+    assert_eq!(
+        (names.category("report"), names.caller("school").map(|c| c.0)),
+        (Some(CategoryNo(0)), Some(1))
+    );
+    assert_eq!((&zones[0][..], read.callers[&barleydrum::CallerNo(0)].quota_per_s), ("north", 2.5));
+    assert_eq!((lines.idle, lines.connect, lines.parts), (Some(Tenths(150_000)), None, Some(32)));
+}
+
+#[rstest]
+fn finds_nothing_wrong_with_a_sound_one() {
+    assert_eq!(check(&document(&sound())), []);
+}
+
+/// Each mistake names the field, what it holds and what is allowed.
+#[rstest]
+#[case("/Domain/MinShare/0", json!(1.5), "`Domain.MinShare[0]` is 1.5: a share from 0 to 1 is allowed")]
+#[case("/Domain/MinShare/0", json!("much"), "`Domain.MinShare[0]` is \"much\": a share from 0 to 1 is allowed")]
+#[case("/Domain/CompleteFrom", json!([0.3, 1]), "`Domain.MinShare[0]` is 0.4: at most `CompleteFrom[0]`, 0.3, is allowed")]
+#[case("/Domain/CompleteFrom", json!([1.0]), "`Domain.CompleteFrom` is a list of 1: one for each of `Services`, 2, is allowed")]
+#[case("/Domain/Reach", json!(0), "`Domain.Reach` is 0: a whole number from 1 to 65536 is allowed")]
+#[case("/Domain/Reach", json!(5), "`Domain.Reach` is 5: at most `Domain.Cells`, 4, is allowed")]
+#[case("/Domain/Cells", json!(2.5), "`Domain.Cells` is 2.5: a whole number from 1 to 65536 is allowed")]
+#[case("/Services/1/OnTimeMs", json!(6000), "`Services[1].OnTimeMs` is 6000: at most `DeadlineMs`, 5000, is allowed")]
+#[case("/Services/1/OnTimeMs", json!(20), "`Services[1].OnTimeMs` is 20: more than four times `PeriodMs`, 20, is allowed")]
+#[case(
+    "/Services/1/OnTimeMs",
+    Value::Null,
+    "`Services[1].OnTimeMs` is missing: 1 to 600000 milliseconds is needed"
+)]
+#[case("/Services/1/Name", json!("report"), "`Services[1].Name` is \"report\" once more: each name once is allowed")]
+#[case("/Services/0/DedupWindowMs", json!(0), "`Services[0].DedupWindowMs` is 0: more than 0 where `Effect` is `deduplicated` is allowed")]
+#[case("/Services/0/Effect", json!("twice"), "`Services[0].Effect` is \"twice\": `idempotent` or `deduplicated` or `at_most_once` is allowed")]
+#[case("/Services", json!({}), "`Services` is an object: a list is allowed")]
+#[case("/Tenants/1/QuotaRps", json!(-1), "`Tenants[1].QuotaRps` is -1: a number from 0 to 1000000000 is allowed")]
+#[case("/Tenants/1/QuotaRPS", json!(1), "`Tenants[1].QuotaRPS` is unknown: `Tenants[].QuotaRps` is the nearest key")]
+#[case("/Rules/BudgetWindow", json!(1), "`Rules.BudgetWindow` is unknown: `Rules.BudgetWindowMs` is the nearest key")]
+#[case("/Rules/ResendRatio", json!(0.1), "`Rules.BudgetWindowMs` is missing: a window where `ExtraFloor` or `ResendRatio` stand is needed")]
+#[case("/Rules/ColdFrom", json!(0), "`Rules.ColdFrom` is 0: more than 0 where `WarmUpMs` is more than 0 is allowed")]
+#[case("/Limits/MaxOpen", json!(1e300), "`Limits.MaxOpen` is 1e+300: a whole number from 2 to 1000000 is allowed")]
+#[case("/Zone", json!(2), "`Zone` is 2: a place in `Areas`, less than 2, is allowed")]
+#[case("/Domain", Value::Null, "`Domain` is missing: what `Domain.Cells` stands in is needed")]
+fn names_what_is_wrong(#[case] at: &str, #[case] to: Value, #[case] told: &str) {
+    let mistakes: Vec<String> = check(&document(&with(at, to))).iter().map(Mistake::to_string).collect();
+    assert!(mistakes.iter().any(|mistake| mistake == told), "{mistakes:#?}");
+}
+
+#[rstest]
+fn lists_all_mistakes_at_once() {
+    let mut value = with("/Domain/MinShare/0", json!(2));
+    value["Services"][1]["Worth"] = json!("x");
+    value["Limits"]["MaxOpen"] = json!(0);
+    assert_eq!(check(&document(&value)).len(), 3);
+}
+
+#[rstest]
+#[case(&b"{\"Instances\": 3, \"Serv"[..], "line 1, column 22: EOF while parsing a string")]
+#[case(&b"[]"[..], "not an object but a list")]
+#[case(&[b'['; 4000][..], "line 1, column 128: recursion limit exceeded")]
+#[case(&[b' '; 5000][..], "5000 bytes, at most 4096 are allowed")]
+fn tells_why_a_text_is_no_document(#[case] text: &[u8], #[case] told: &str) {
+    assert_eq!(Document::parse(text, 4096).unwrap_err().to_string(), told);
+}
+
+/// Two texts that say the same have the same bytes.
+#[rstest]
+fn has_one_canonical_form() {
+    let [a, b] = [&br#"{"b": 5.0, "a": [1e2]}"#[..], &b"{\n\"a\":[100],\"b\":5}"[..]];
+    let canonical = |text| Document::parse(text, 100).unwrap().canonical();
+    assert_eq!(
+        (canonical(a), canonical(b)),
+        (b"{\"a\":[100],\"b\":5}".to_vec(), b"{\"a\":[100],\"b\":5}".to_vec())
+    );
+}
+
+fn taken_over(new: &Value) -> Result<Revised, Vec<Mistake>> {
+    let running = document(&sound());
+    let names = super::read(sound().to_string().as_bytes()).unwrap().names;
+    revise(&running, &names, &document(new))
+}
+
+/// Numbers stay with names: what was struck keeps its own, what is new gets the next.
+#[rstest]
+fn keeps_numbers_with_names() {
+    let mut new = sound();
+    new["Services"][0] =
+        json!({"Name": "bulk", "OnTimeMs": 100, "DeadlineMs": 500, "Worth": 1, "Effect": "idempotent"});
+    new["Services"].as_array_mut().unwrap().reverse();
+    new["Tenants"] = json!([{"Name": "school", "QuotaRps": 9}]);
+    let taken = taken_over(&new).unwrap();
+    let goals: Vec<_> =
+        taken.intake.prescription.categories.iter().map(|(no, c)| (no.0, c.goal_time.0)).collect();
+    assert_eq!(goals, [(1, 20_000), (2, 1000)]);
+    let callers: Vec<_> =
+        taken.intake.prescription.callers.iter().map(|(no, c)| (no.0, c.quota_per_s)).collect();
+    assert_eq!(callers, [(1, 9.0)]);
+    assert_eq!(taken.intake.names.category("report"), Some(CategoryNo(0)));
+}
+
+/// What is the broker's own is left out, and filled in: the zone by its name.
+#[rstest]
+fn fills_in_what_is_the_brokers_own() {
+    let mut new = with("/Zone", Value::Null);
+    new["Areas"] = json!(["south", "east", "north"]);
+    new.as_object_mut().unwrap().remove("Me");
+    let taken = taken_over(&new).unwrap();
+    assert_eq!(taken.intake.prescription.zone, ZoneNo(0));
+    assert!(taken.changes.iter().all(|change| matches!(change.applies, Applies::Live | Applies::Own)));
+}
+
+#[rstest]
+#[case("/PeriodMs", json!(2), "`PeriodMs` is 2, the broker runs with 5.0: that needs a restart")]
+#[case(
+    "/Limits/ConnIdleMs",
+    Value::Null,
+    "`Limits.ConnIdleMs` is its default, the broker runs with 15000.0: that needs a restart"
+)]
+#[case("/Zone", json!(0), "`Zone` is north, the broker runs with south: that needs a restart")]
+#[case("/Me", json!(0), "`Me` is 0, the broker runs with 2: that needs a restart")]
+#[case("/Domain/MinShare/0", json!(2), "`Domain.MinShare[0]` is 2: a share from 0 to 1 is allowed")]
+fn turns_down_what_it_cannot_take_over(#[case] at: &str, #[case] to: Value, #[case] told: &str) {
+    let mistakes: Vec<String> =
+        taken_over(&with(at, to)).unwrap_err().iter().map(Mistake::to_string).collect();
+    assert_eq!(mistakes, [told]);
+}
+
+/// A list in another order is the same; a change tells which key of which item, and when it applies.
+#[rstest]
+fn compares_by_name() {
+    let mut new = sound();
+    new["Tenants"].as_array_mut().unwrap().reverse();
+    assert_eq!(compare(&document(&sound()), &document(&new)), []);
+    new["Tenants"][0]["QuotaRps"] = json!(7);
+    new["Limits"]["MaxOpen"] = json!(50);
+    new["Stats"] = json!({});
+    let told: Vec<_> =
+        compare(&document(&sound()), &document(&new)).into_iter().map(|c| (c.field, c.applies)).collect();
+    assert_eq!(
+        told,
+        [("Limits.MaxOpen".to_owned(), Applies::Live), ("Tenants[school].QuotaRps".to_owned(), Applies::New)]
+    );
+}
+
+/// Services that are compared by name need no number of their own in the table: every key has one row.
+#[rstest]
+fn the_table_has_one_row_a_key() {
+    let keys: std::collections::BTreeSet<&str> = FIELDS.iter().map(|field| field.0).collect();
+    assert_eq!(keys.len(), FIELDS.len());
+}
