--- /dev/null
+++ b/crates/control/src/version.rs
@@ -0,0 +1,48 @@
+//! What names a version: its number and the digest of its contents.
+
+use std::fmt;
+
+/// BLAKE3 of a document's canonical bytes.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Digest(pub [u8; 32]);
+
+impl Digest {
+    pub fn of(canonical: &[u8]) -> Digest {
+        Digest(*blake3::hash(canonical).as_bytes())
+    }
+
+    /// From 64 hex digits; none where it is anything else.
+    pub fn parse(hex: &str) -> Option<Digest> {
+        blake3::Hash::from_hex(hex).ok().map(|hash| Digest(*hash.as_bytes()))
+    }
+
+    /// The first twelve digits, as logs show them.
+    pub fn short(&self) -> String {
+        self.to_string()[..12].to_owned()
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str(&self.short())
+    }
+}
+
+/// One version of an installation's prescription. Number 0 is a broker's own file.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct VersionId {
+    pub number: u64,
+    pub digest: Digest,
+}
+
+impl fmt::Display for VersionId {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} ({})", self.number, self.digest.short())
+    }
+}
