Brokers follow versions from a control service by xDS, and show what they run by CSDS

Cause: three brokers with files edited by hand drift apart, and nobody can ask one what it runs.

The program gets serve, check and control status on clap, and JSON lines; bare it starts as before. Feature control of the broker, off in the platform's build.

--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -150,6 +150,7 @@
 #[derive(Default)]
 struct Names {
     nodes: HashMap<String, NodeId>,
+    ready: HashSet<NodeId>,
     zones: Vec<String>,
     last_node: u64,
 }
@@ -173,7 +174,7 @@
 
 impl Desk {
     pub fn new(intake: Intake, seed: u64, limits: Rc<Limits>) -> Rc<Desk> {
-        let edition = Rc::new(Edition::new(0, &intake));
+        let edition = Rc::new(Edition::new(&intake));
         let Intake { prescription, zones, .. } = intake;
         // The roll tells starts in Unix time, so the clock counts from there, and only ever forward.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -215,6 +216,11 @@
         self.ready.get()
     }
 
+    /// How many nodes the roll tells to be ready.
+    pub fn ready_nodes(&self) -> usize {
+        self.names.borrow().ready.len()
+    }
+
     pub fn open_retrievals(&self) -> usize {
         self.book.borrow().retrievals.len()
     }
@@ -316,8 +322,9 @@
 
     /// Puts a roll into the module's ids.
     pub fn hear_roll(&self, kind: RollKind, listing: Listing) {
-        let mut names = self.names.borrow_mut();
+        let names = &mut *self.names.borrow_mut();
         if kind != RollKind::Changes {
+            names.ready.clear();
             let listed: HashSet<&str> = listing.nodes.iter().map(|node| &node.name[..]).collect();
             names.nodes.retain(|name, node| {
                 let stays = listed.contains(&name[..]);
@@ -334,6 +341,10 @@
             let next = names.last_node + 1;
             let node = *names.nodes.entry(told.name.clone()).or_insert(NodeId(next));
             names.last_node = names.last_node.max(node.0);
+            match standing {
+                Standing::Ready => names.ready.insert(node),
+                _ => names.ready.remove(&node),
+            };
             let address = (standing != Standing::Gone).then_some(told.address);
             self.nodes.listens(node, address, standing == Standing::Ready);
             if standing == Standing::Gone {
--- a/crates/broker/src/edition.rs
+++ b/crates/broker/src/edition.rs
@@ -7,8 +7,6 @@
 use std::collections::BTreeMap;
 
 pub struct Edition {
-    /// Its number where it came from a control service; 0 for the broker's own file.
-    pub number: u64,
     pub names: Catalogue,
     pub categories: BTreeMap<CategoryNo, Category>,
     pub shards: u32,
@@ -35,12 +33,11 @@
 }
 
 impl Edition {
-    pub fn new(number: u64, intake: &Intake) -> Edition {
+    pub fn new(intake: &Intake) -> Edition {
         let p: &Prescription = &intake.prescription;
         let goal = p.categories.values().map(|category| category.goal_time).min().unwrap_or_default();
         let stay_away = goal.min(p.limits.longest_stay_away);
         Edition {
-            number,
             names: intake.names.clone(),
             categories: p.categories.clone(),
             shards: p.layout.shards,
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -12,6 +12,7 @@
 //! A front of another kind takes the desk's place of `front` and `retrieval`: it makes a
 //! [`desk::Question`], hands it to [`desk::Desk::take`] and waits for the [`desk::Verdict`].
 
+mod command;
 pub mod desk;
 pub mod edition;
 pub mod frame;
@@ -24,9 +25,12 @@
 pub mod retrieval;
 pub mod roll;
 mod start;
+#[cfg_attr(not(feature = "control"), path = "versions_off.rs")]
+mod versions;
 
 pub use leave::word;
-pub use start::Order;
+pub use operator::{Control, Fitting, LogForm};
+pub use start::{Order, Source};
 
 use barleydrum::RollKind;
 use desk::Desk;
@@ -50,12 +54,23 @@
     pub desk: Rc<Desk>,
     /// Where discovery is; it may move while the broker runs.
     pub discovery: watch::Sender<SocketAddr>,
+    /// Where it tells what it runs.
+    pub status: Option<SocketAddr>,
     front: Rc<Front>,
     limits: Rc<Limits>,
 }
 
 /// Starts a broker on the current thread, within an `actix_rt` runtime.
 pub async fn start(order: Order) -> io::Result<Running> {
+    start_fitted(order, Fitting::default()).await
+}
+
+/// The same, fitted to an installation.
+pub async fn start_fitted(mut order: Order, fitting: Fitting) -> io::Result<Running> {
+    let follower = match fitting.control {
+        Some(control) => Some(versions::prepare(&mut order, control)?),
+        None => None,
+    };
     let listener = TcpListener::bind(order.listen).await?;
     let listens = listener.local_addr()?;
     let limits = Rc::new(order.limits);
@@ -71,24 +86,32 @@
     actix_rt::spawn(desk.clone().run());
     let (discovery, place) = watch::channel(order.discovery);
     actix_rt::spawn(roll::follow(desk.clone(), limits.clone(), place));
+    let status = follower.map(|follower| follower.begin(desk.clone())).transpose()?.flatten();
     actix_rt::spawn(front.clone().run(listener));
     info!("{} serves on {listens}", order.name);
-    Ok(Running { listens, desk, discovery, front, limits })
+    Ok(Running { listens, desk, discovery, status, front, limits })
 }
 
-/// The program: starts as the environment says, serves until told to leave.
+/// The program: bare, it starts as the environment says and serves until told to leave; with arguments, as the
+/// command line says.
 pub fn run() -> ExitCode {
-    // The HTTP server would write a line for each bad request; the front sums them up.
-    let told = Targets::new().with_default(LevelFilter::INFO).with_target("actix_http", LevelFilter::OFF);
-    let lines = fmt::layer().with_ansi(false).with_writer(io::stderr).with_target(false);
-    tracing_subscriber::registry().with(lines.with_filter(told)).init();
+    match std::env::args_os().len() {
+        0 | 1 => serve(&Source::default(), Fitting::default()),
+        _ => command::run(),
+    }
+}
+
+/// Serves until told to leave.
+fn serve(source: &Source, fitting: Fitting) -> ExitCode {
+    log_to_standard_error(fitting.log);
     let served = actix_rt::Runtime::new().map_err(|e| e.to_string()).and_then(|runtime| {
         runtime.block_on(async {
             // Listened for before anything else: without that, either signal ends the process.
             let mut leave = word().map_err(|e| e.to_string())?;
             let anew = reload::word().map_err(|e| e.to_string())?;
-            let running = start(Order::from_env()?).await.map_err(|e| e.to_string())?;
-            actix_rt::spawn(reload::follow(anew, running.discovery.clone()));
+            let order = Order::from(source)?;
+            let running = start_fitted(order, fitting).await.map_err(|e| e.to_string())?;
+            actix_rt::spawn(reload::follow(anew, source.clone(), running.discovery.clone()));
             leave.recv().await;
             running.leave().await;
             Ok(())
@@ -102,3 +125,16 @@
         }
     }
 }
+
+fn log_to_standard_error(form: LogForm) {
+    // The HTTP server would write a line for each bad request; the front sums them up.
+    let told = Targets::new().with_default(LevelFilter::INFO).with_target("actix_http", LevelFilter::OFF);
+    let lines = fmt::layer().with_ansi(false).with_writer(io::stderr).with_target(false);
+    match form {
+        LogForm::Text => tracing_subscriber::registry().with(lines.with_filter(told)).init(),
+        LogForm::Json => {
+            let lines = lines.json().flatten_event(true).with_current_span(false).with_span_list(false);
+            tracing_subscriber::registry().with(lines.with_filter(told)).init();
+        }
+    }
+}
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -15,11 +15,26 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub intake: Intake,
+    /// The text of the settings that `intake` was read from.
+    pub settings: String,
     /// The nodes as this broker last had them.
     pub known: Option<Listing>,
     pub limits: Limits,
 }
 
+/// Where a broker's own file is: named on the command line, or by the environment.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    pub config: Option<String>,
+}
+
+impl Source {
+    fn variable(&self, name: &str) -> Option<String> {
+        let told = self.config.clone().filter(|_| name == "EDGE_CONFIG");
+        told.or_else(|| std::env::var(name).ok())
+    }
+}
+
 #[derive(Deserialize)]
 struct File<'a> {
     name: Option<String>,
@@ -41,13 +56,18 @@
 impl Order {
     /// Reads EDGE_* and the file that they name; an error is for whoever started the broker.
     pub fn from_env() -> Result<Order, String> {
-        Order::read_file(|name| std::env::var(name).ok())
+        Order::from(&Source::default())
+    }
+
+    /// Reads what this source tells of.
+    pub fn from(source: &Source) -> Result<Order, String> {
+        Order::read_file(|name| source.variable(name))
     }
 
     /// Reads the file once more, for what a running broker takes over from it: where discovery is now. What
     /// the environment said of that held for the start.
-    pub fn reread() -> Result<SocketAddr, String> {
-        let order = Order::read_file(|name| std::env::var(name).ok().filter(|_| name != "EDGE_DISCOVERY"));
+    pub fn reread(source: &Source) -> Result<SocketAddr, String> {
+        let order = Order::read_file(|name| source.variable(name).filter(|_| name != "EDGE_DISCOVERY"));
         order.map(|order| order.discovery)
     }
 
@@ -79,6 +99,7 @@
             discovery: address("discovery", file.discovery)?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("`seed`: {e}"))?,
             intake,
+            settings: file.settings.get().to_owned(),
             known: file.known,
             limits,
         })
--- /dev/null
+++ b/crates/broker/src/versions.rs
@@ -0,0 +1,193 @@
+//! Versions from a control service, brought to the desk. The streams, the checks and the file live on a thread
+//! beside the broker's; here, on the broker's own, a version is taken over in one step between two turns.
+
+use crate::Order;
+use crate::desk::Desk;
+use crate::edition::{Edition, Tally};
+use barleydrum::Prescription;
+use control::{Sample, VersionId};
+use control_client::{Post, Restored, Seat, Shown, csds, follow, restore, show};
+use intake::{Document, Intake, check};
+use operator::Control;
+use serde_json::json;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tracing::{info, warn};
+
+/// A broker's versions, prepared before it serves.
+pub struct Follower {
+    post: Post,
+    restored: Restored,
+    start: Prescription,
+    status: Option<TcpListener>,
+}
+
+/// Takes over what the broker kept, if it did, so that it serves under that from its first retrieval on.
+pub fn prepare(order: &mut Order, control: Control) -> io::Result<Follower> {
+    let wrong = |why: String| io::Error::new(io::ErrorKind::InvalidInput, why);
+    let own = Document::parse(order.settings.as_bytes(), control.document);
+    let own = own.map_err(|why| wrong(format!("settings: {why}")))?;
+    if let Some(mistake) = check(&own).first() {
+        return Err(wrong(format!("settings: {mistake}")));
+    }
+    let Control { installation, document, keep, .. } = &control;
+    let restored = restore(own, &order.intake, keep.as_deref(), installation, *document);
+    if let Some(why) = &restored.passed_over {
+        warn!(reason = why, "the kept version is passed over, the broker begins with its own file");
+    }
+    let version = restored.runs.version;
+    if version.number > 0 {
+        info!(number = version.number, digest = %version.digest, "version taken up again, as it was kept");
+        let own = std::mem::replace(&mut order.intake, restored.runs.intake.clone());
+        let (kept, own) = (&mut order.intake.prescription, own.prescription);
+        (kept.send_lag, kept.roll_on_request) = (own.send_lag, own.roll_on_request);
+    }
+    let status = control.status.map(TcpListener::bind).transpose()?;
+    let post = Post {
+        name: order.name.clone(),
+        installation: control.installation,
+        services: control.services,
+        patience: control.patience,
+        document: control.document,
+        keep: control.keep,
+        count_every: control.count_every,
+        seed: order.seed,
+    };
+    Ok(Follower { post, restored, start: order.intake.prescription.clone(), status })
+}
+
+impl Follower {
+    /// Begins to follow, on a thread of its own; where the status is told.
+    pub fn begin(self, desk: Rc<Desk>) -> io::Result<Option<SocketAddr>> {
+        let Follower { post, restored, start, status } = self;
+        let told_at = status.as_ref().map(TcpListener::local_addr).transpose()?;
+        let shown = Shown::new(&post, restored.runs.version);
+        let (words, heard) = mpsc::channel(1);
+        actix_rt::spawn(sit(desk, start, heard, shown.clone()));
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        std::thread::Builder::new().name("control".to_owned()).spawn(move || {
+            runtime.block_on(async move {
+                if let Some(listener) = status.and_then(listener) {
+                    tokio::spawn(show(shown.clone(), listener));
+                }
+                follow(post, restored, Remote(words), shown).await;
+            });
+        })?;
+        if let Some(address) = told_at {
+            info!(address = %address, "status service");
+        }
+        Ok(told_at)
+    }
+}
+
+fn listener(listener: TcpListener) -> Option<tokio::net::TcpListener> {
+    let ready = listener.set_nonblocking(true).and_then(|()| tokio::net::TcpListener::from_std(listener));
+    ready.inspect_err(|e| warn!(reason = %e, "no status service")).ok()
+}
+
+/// What the thread beside asks of the broker's.
+enum Word {
+    Prescribe { version: VersionId, intake: Box<Intake>, done: oneshot::Sender<()> },
+    Relabel { version: VersionId, done: oneshot::Sender<()> },
+    Count { tell: oneshot::Sender<Sample> },
+}
+
+struct Remote(mpsc::Sender<Word>);
+
+impl Remote {
+    async fn say<T>(&self, word: impl FnOnce(oneshot::Sender<T>) -> Word) -> Option<T> {
+        let (tell, told) = oneshot::channel();
+        self.0.send(word(tell)).await.ok()?;
+        told.await.ok()
+    }
+}
+
+impl Seat for Remote {
+    async fn prescribe(&mut self, version: VersionId, intake: Intake) {
+        self.say(|done| Word::Prescribe { version, intake: Box::new(intake), done }).await;
+    }
+
+    async fn relabel(&mut self, version: VersionId) {
+        self.say(|done| Word::Relabel { version, done }).await;
+    }
+
+    async fn count(&mut self) -> Option<Sample> {
+        self.say(|tell| Word::Count { tell }).await
+    }
+}
+
+/// Does at the desk what is asked. What is shown changes in the same step as what is taken under: nobody can see
+/// one without the other.
+async fn sit(desk: Rc<Desk>, start: Prescription, mut heard: mpsc::Receiver<Word>, shown: Arc<Shown>) {
+    while let Some(word) = heard.recv().await {
+        match word {
+            Word::Prescribe { version, mut intake, done } => {
+                let p = &mut intake.prescription;
+                (p.send_lag, p.roll_on_request) = (start.send_lag, start.roll_on_request);
+                // Zones have the numbers of the start here, whatever order a version lists them in.
+                p.zone = start.zone;
+                desk.prescribe(Edition::new(&intake), intake.prescription);
+                shown.runs.store(Arc::new(version));
+                let _ = done.send(());
+            }
+            Word::Relabel { version, done } => {
+                shown.runs.store(Arc::new(version));
+                let _ = done.send(());
+            }
+            Word::Count { tell } => {
+                let Tally { ended, late, declined, scrapped, turned_away, by_nodes } =
+                    desk.edition().tally.get();
+                let bad = late + declined + scrapped + turned_away;
+                let _ = tell.send(Sample { ended, bad, by_nodes, ready: desk.ready_nodes() as u64 });
+            }
+        }
+    }
+}
+
+/// Asks a running broker what it runs, and prints it.
+pub fn status(address: SocketAddr, within: Duration, as_json: bool) -> ExitCode {
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("barleydrum: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let told = match runtime.block_on(csds::ask(address, within)) {
+        Ok(told) => told,
+        Err(why) => {
+            eprintln!("barleydrum: no status from {address}: {why}");
+            return ExitCode::from(3);
+        }
+    };
+    if as_json {
+        let refusal = told
+            .last_refusal
+            .as_ref()
+            .map(|(number, why, at)| json!({"number": number.parse::<u64>().ok(), "reason": why, "at": at}));
+        let line = json!({"name": told.name, "installation": told.installation, "number": told.number,
+            "digest": told.digest, "since": told.since, "standing": told.standing,
+            "confirmed": told.confirmed, "unproven": told.unproven, "last_refusal": refusal});
+        println!("{line}");
+    } else {
+        println!("broker         {} of {}", told.name, told.installation);
+        println!("runs           version {}, {}", told.number, told.standing);
+        println!("digest         {}", told.digest);
+        println!("since          {:.3} (Unix time)", told.since);
+        println!("confirmed      version {}", told.confirmed);
+        if let Some(why) = &told.unproven {
+            println!("not proven     {why}");
+        }
+        match &told.last_refusal {
+            Some((number, why, at)) if number.is_empty() => println!("last refusal   at {at:.3}: {why}"),
+            Some((number, why, at)) => println!("last refusal   version {number} at {at:.3}: {why}"),
+            None => println!("last refusal   none"),
+        }
+    }
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/broker/src/versions_off.rs
@@ -0,0 +1,31 @@
+//! Stands in for versions from a control service where the program is built without them.
+
+use crate::Order;
+use crate::desk::Desk;
+use operator::Control;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+pub struct Follower(Infallible);
+
+const WITHOUT: &str =
+    "[control] is switched on, but this program is built without it (cargo build --features control)";
+
+pub fn prepare(_: &mut Order, _: Control) -> io::Result<Follower> {
+    Err(io::Error::other(WITHOUT))
+}
+
+impl Follower {
+    pub fn begin(self, _: Rc<Desk>) -> io::Result<Option<SocketAddr>> {
+        match self.0 {}
+    }
+}
+
+pub fn status(_: SocketAddr, _: Duration, _: bool) -> ExitCode {
+    eprintln!("barleydrum: this program is built without `control` (cargo build --features control)");
+    ExitCode::from(2)
+}
--- /dev/null
+++ b/crates/broker/tests/control/party.rs
@@ -0,0 +1,228 @@
+//! Who takes part: the program as processes, nodes that answer at once, clients, and documents that can be told
+//! apart from outside.
+
+use control_client::csds::{Told, ask};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+pub const INSTALLATION: &str = "halls";
+
+/// Waits until it holds; with what was waited for, where it does not come to that.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let until = Instant::now() + Duration::from_secs(40);
+    while !holds() {
+        assert!(Instant::now() < until, "waited in vain until {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+/// A node of cell 0 that answers every part at once; returns its address.
+pub fn node() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || _ = answer_all(stream));
+        }
+    });
+    address
+}
+
+fn answer_all(mut stream: TcpStream) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let mut length = [0; 4];
+        reader.read_exact(&mut length)?;
+        let mut frame = vec![0; u32::from_le_bytes(length) as usize];
+        reader.read_exact(&mut frame)?;
+        let mut rest = &frame[1..];
+        while frame[0] == b'1' && !rest.is_empty() {
+            let mut line = String::new();
+            rest.read_line(&mut line)?;
+            let fields: Vec<&str> = line.trim().split(' ').collect();
+            let text: usize = fields[3].parse().unwrap();
+            rest = &rest[text..];
+            let answer = format!("5{} S 1 -\nv", fields[0]);
+            stream.write_all(&(answer.len() as u32).to_le_bytes())?;
+            stream.write_all(answer.as_bytes())?;
+        }
+    }
+}
+
+/// Version `number`: its shards and its time to stay away tell it from every other. Even shards lie in cell 0, odd
+/// ones in cell 1, which no node is in.
+pub fn document(number: u64) -> Value {
+    let category = |name: &str, goal: f64| json!({"Name": name, "OnTimeMs": goal, "DeadlineMs": 5000.0, "Worth": 1.0, "Effect": "idempotent"});
+    json!({"Instances": 3, "PeriodMs": 5.0, "RegistryMode": "automatic", "Areas": ["hall"], "Tenants": [],
+        "Services": [category("lookup", 2000.0), category("probe", 60.0)],
+        "Domain": {"Cells": 2, "Reach": 1, "Ranges": 32 + 2 * number, "PerCall": 4,
+            "CompleteFrom": [1.0, 1.0], "MinShare": [1.0, 1.0]},
+        "Limits": {"ConnIdleMs": 15000.0, "ConnectTimeoutMs": 2000.0, "MaxAttempts": 3, "MaxOpen": 1000,
+            "MayCancel": true, "StreamsPerConn": 32, "RetryAfter": true, "MaxRetryAfterMs": 10.0 + number as f64},
+        "Rules": {"AskWithinMs": 50000.0, "ColdFrom": 0.2, "WarmUpMs": 17000.0, "OverloadFactor": 3.0,
+            "OverloadForMs": 1000.0}})
+}
+
+/// What a broker starts from.
+pub struct Start<'a> {
+    pub folder: &'a Path,
+    pub name: &'a str,
+    pub node: SocketAddr,
+    pub services: Vec<SocketAddr>,
+    /// Further lines of `[control]`.
+    pub control: &'a str,
+}
+
+/// The program, serving.
+pub struct Broker {
+    pub listens: SocketAddr,
+    pub status: SocketAddr,
+    child: Child,
+    lines: mpsc::Receiver<String>,
+    pub log: Vec<String>,
+}
+
+impl Broker {
+    pub fn start(start: &Start) -> Broker {
+        let path = |ending: &str| -> PathBuf { start.folder.join(format!("{}.{ending}", start.name)) };
+        let mut settings = document(0);
+        (settings["Zone"], settings["Me"]) = (json!(0), json!(1));
+        let member = json!({"id": "s-0", "host_port": start.node.to_string(), "locality": "hall", "flavor": "std",
+            "cell": 0, "phase": "ready", "size": 1.0, "up_since_ms": 0});
+        // Discovery is down for as long as this lasts: the known roll holds.
+        let config = json!({"name": start.name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+            "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": {"revision": 1, "complete": true, "members": [member]}, "settings": settings});
+        std::fs::write(path("json"), config.to_string()).unwrap();
+        let services: Vec<String> = start.services.iter().map(SocketAddr::to_string).collect();
+        let operator = format!(
+            "[log]\nformat = json\n[control]\ninstallation = {INSTALLATION}\nservices = {}\n\
+             status_listen = 127.0.0.1:0\n{}\n",
+            services.join(", "),
+            start.control
+        );
+        std::fs::write(path("ini"), operator).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_barleydrum"))
+            .args(["serve", "--config"])
+            .arg(path("json"))
+            .arg("--operator")
+            .arg(path("ini"))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (tell, lines) = mpsc::channel();
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| _ = tell.send(line)));
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 0));
+        let mut broker = Broker { listens: nowhere, status: nowhere, child, lines, log: Vec::new() };
+        let told = broker.says("status service");
+        broker.status = told["address"].as_str().unwrap().parse().unwrap();
+        let told = broker.says("serves on");
+        let words = told["message"].as_str().unwrap();
+        broker.listens = words.split("serves on ").nth(1).unwrap().parse().unwrap();
+        broker
+    }
+
+    /// The next line of the log with these words in its message.
+    pub fn says(&mut self, words: &str) -> Value {
+        loop {
+            let line = self.lines.recv_timeout(Duration::from_secs(40));
+            let line = line.unwrap_or_else(|_| panic!("`{words}` is not said, but {:#?}", self.log));
+            let told: Value = serde_json::from_str(&line).unwrap_or_else(|_| panic!("no JSON: {line}"));
+            self.log.push(line);
+            if told["message"].as_str().is_some_and(|message| message.contains(words)) {
+                return told;
+            }
+        }
+    }
+
+    pub fn told(&self) -> Told {
+        told(self.status)
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Drop for Broker {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// What the broker with this status service says that it runs.
+pub fn told(status: SocketAddr) -> Told {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(ask(status, Duration::from_secs(20))).unwrap()
+}
+
+/// A client on one connection; it holds every answer against what an answer must be.
+pub struct Client {
+    stream: BufReader<TcpStream>,
+    name: String,
+    asked: u64,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub status: u16,
+    /// Milliseconds.
+    pub stay_away: Option<f64>,
+}
+
+impl Client {
+    pub fn new(name: &str, broker: SocketAddr) -> Client {
+        let stream = TcpStream::connect(broker).unwrap();
+        stream.set_read_timeout(Some(Duration::from_secs(30))).unwrap();
+        Client { stream: BufReader::new(stream), name: name.to_owned(), asked: 0 }
+    }
+
+    /// Asks for one shard, and waits for the one answer.
+    pub fn ask(&mut self, category: &str, shard: u64) -> Reply {
+        self.asked += 1;
+        let body = json!({"slices": [{"slice": shard, "mass": 1.0}], "filter": "x"}).to_string();
+        let head = format!(
+            "POST /api HTTP/1.1\r\nHost: x\r\nX-Correlation-Id: {}-{}\r\nX-Service-Class: {category}\r\n\
+             X-Time-Left-Ms: 5000\r\nContent-Length: {}\r\n\r\n",
+            self.name,
+            self.asked,
+            body.len()
+        );
+        assert!(self.stream.buffer().is_empty(), "more than one answer");
+        self.stream.get_mut().write_all((head + &body).as_bytes()).unwrap();
+        let mut fields = BTreeMap::new();
+        let mut line = String::new();
+        assert!(self.stream.read_line(&mut line).unwrap() > 0, "no answer");
+        let status = line.split(' ').nth(1).unwrap().parse().unwrap();
+        loop {
+            line.clear();
+            self.stream.read_line(&mut line).unwrap();
+            let Some((name, value)) = line.trim().split_once(": ") else { break };
+            fields.insert(name.to_lowercase(), value.to_owned());
+        }
+        let mut body = vec![0; fields["content-length"].parse().unwrap()];
+        self.stream.read_exact(&mut body).unwrap();
+        let stay_away = fields.get("retry-after").map(|text| text.parse::<f64>().unwrap() * 1000.0);
+        Reply { status, stay_away }
+    }
+
+    /// By which version the module declines a retrieval that none can serve: what it tells of the time to stay away.
+    /// The shard is the last that version `least` has, so that an older one would not let it in. None: the broker
+    /// does not know the shard, and so runs an older one.
+    pub fn probe(&mut self, least: u64) -> Option<u64> {
+        let Reply { status, stay_away } = self.ask("probe", 31 + 2 * least);
+        if status == 400 {
+            return None;
+        }
+        assert_eq!(status, 503, "no node holds it");
+        Some((stay_away.unwrap() - 10.0).round() as u64)
+    }
+}
--- /dev/null
+++ b/crates/control-client/src/shelf.rs
@@ -0,0 +1,120 @@
+//! The contents of versions that the broker may need: the one offered, the one that runs, the one that was last
+//! confirmed. It turns documents into what the broker takes over, and decides nothing.
+
+use crate::keep;
+use crate::wire::Version;
+use control::{Digest, VersionId};
+use intake::{Catalogue, Document, Intake, Mistake, Revised, revise};
+use std::path::Path;
+
+/// A version with its contents.
+#[derive(Clone, Debug)]
+pub struct Shelved {
+    pub version: VersionId,
+    /// As it was offered, so that its digest is the version's.
+    pub document: Document,
+    pub intake: Intake,
+}
+
+#[derive(Debug)]
+pub struct Shelf {
+    /// What this process started with: what a version may not change while it runs.
+    start: Document,
+    /// The numbers of all names so far.
+    names: Catalogue,
+    offered: Option<Shelved>,
+    pub runs: Shelved,
+    pub confirmed: Shelved,
+}
+
+impl Shelf {
+    /// Of a broker that runs this, confirmed, and whose own file is `start`.
+    pub fn new(start: Document, runs: Shelved) -> Shelf {
+        let names = runs.intake.names.clone();
+        Shelf { start, names, offered: None, confirmed: runs.clone(), runs }
+    }
+
+    /// Checks an offer and keeps it at hand; an error lists all that is wrong with it.
+    pub fn check(&mut self, version: VersionId, document: &Document) -> Result<(), String> {
+        let Revised { intake, .. } =
+            revise(&self.start, &self.names, document).map_err(|mistakes| list(&mistakes))?;
+        self.offered = Some(Shelved { version, document: document.clone(), intake });
+        Ok(())
+    }
+
+    /// Takes the offer over; none if it is not the one that was checked last.
+    pub fn apply(&mut self, version: VersionId) -> Option<&Shelved> {
+        let offered = self.offered.take().filter(|offered| offered.version == version)?;
+        self.names = offered.intake.names.clone();
+        self.runs = offered;
+        Some(&self.runs)
+    }
+
+    pub fn relabel(&mut self, version: VersionId) {
+        self.runs.version = version;
+    }
+
+    /// The confirmed one again, in the numbers of now.
+    pub fn put_back(&mut self) -> &Shelved {
+        self.runs = self.confirmed.clone();
+        self.runs.intake.names = self.names.clone();
+        &self.runs
+    }
+
+    pub fn confirm(&mut self) {
+        self.confirmed = self.runs.clone();
+    }
+}
+
+fn list(mistakes: &[Mistake]) -> String {
+    let told: Vec<String> = mistakes.iter().take(20).map(Mistake::to_string).collect();
+    let more = mistakes.len().saturating_sub(told.len());
+    let rest = if more > 0 { format!("; and {more} more") } else { String::new() };
+    told.join("; ") + &rest
+}
+
+/// What a broker starts from: its own file, or what it kept.
+#[derive(Debug)]
+pub struct Restored {
+    pub start: Document,
+    pub runs: Shelved,
+    /// Why a kept file was passed over.
+    pub passed_over: Option<String>,
+}
+
+/// Takes the kept version, if there is a file, it is whole, for this installation, and can be taken over by a
+/// broker with this own document; else the own document, as version 0.
+pub fn restore(
+    own: Document,
+    intake: &Intake,
+    file: Option<&Path>,
+    installation: &str,
+    most: usize,
+) -> Restored {
+    let version = VersionId { number: 0, digest: Digest::of(&own.canonical()) };
+    let fallback = Shelved { version, document: own.clone(), intake: intake.clone() };
+    let kept = file.map(|path| match keep::read(path, most) {
+        Err(keep::NotKept::Absent) => Ok(None),
+        Err(why) => Err(format!("{}: {why}", path.display())),
+        Ok(kept) => take_kept(&own, intake, &kept, installation, most)
+            .map(Some)
+            .map_err(|why| format!("{}: {why}", path.display())),
+    });
+    match kept.unwrap_or(Ok(None)) {
+        Ok(Some(runs)) => Restored { start: own, runs, passed_over: None },
+        Ok(None) => Restored { start: own, runs: fallback, passed_over: None },
+        Err(why) => Restored { start: own, runs: fallback, passed_over: Some(why) },
+    }
+}
+
+fn take_kept(
+    own: &Document,
+    intake: &Intake,
+    kept: &Version,
+    installation: &str,
+    most: usize,
+) -> Result<Shelved, String> {
+    let (version, document) = kept.open(installation, most)?;
+    let revised = revise(own, &intake.names, &document).map_err(|mistakes| list(&mistakes))?;
+    Ok(Shelved { version, document, intake: revised.intake })
+}
--- a/crates/control/src/trial.rs
+++ b/crates/control/src/trial.rs
@@ -209,8 +209,13 @@
         look.after.ended >= least_ended && least > usual + margin
     }
 
+    /// Time and retrievals enough, and what was seen does not look worse. One that does, though not beyond noise, is
+    /// looked at on.
     fn is_over(&self, look: &Look) -> bool {
-        look.now - self.clear_since.0 >= self.patience.trial && look.after.ended >= self.patience.least_ended
+        let Patience { least_ended, margin, trial, .. } = self.patience;
+        let usual = self.before.at_most(least_ended, Sample::unblamed, USUAL);
+        let looks_worse = look.after.unblamed() as f64 > (usual + margin) * look.after.ended as f64;
+        look.now - self.clear_since.0 >= trial && look.after.ended >= least_ended && !looks_worse
     }
 
     // ---- acts
@@ -239,7 +244,9 @@
         let (ended, least) = (look.after.ended, self.patience.least_ended);
         Verdict::Unproven(match ended < least {
             true => format!("{ended} retrievals ended, {least} are needed"),
-            false => "nodes were being lost on and off".to_owned(),
+            false => {
+                "it looked worse, though not beyond doubt, or nodes were being lost on and off".to_owned()
+            }
         })
     }
 
@@ -352,6 +359,19 @@
         }
     }
 
+    /// Few retrievals, all bad, and nothing to compare with: not proven by them, and blamed once there are more.
+    #[rstest]
+    fn what_looks_worse_is_not_proven() {
+        let patience = Patience { trial: Tenths(3 * SECOND), margin: 0.2, ..Patience::default() };
+        let mut trial = Trial::new(patience, &Past::default(), Tenths(0));
+        let words = (1..=60).map(|second: i64| {
+            let (ended, ready) = (second as u64 * 10, 5);
+            trial.judge(Tenths(second * SECOND), Sample { ended, bad: ended, by_nodes: 0, ready })
+        });
+        let first = words.into_iter().enumerate().find(|(_, verdict)| *verdict != Verdict::Waits).unwrap();
+        assert!(first.0 == 3 && is_failed(&first.1), "{first:?}");
+    }
+
     /// A trouble that began a quarter of a minute before the version is not laid to it.
     #[rstest]
     fn does_not_blame_what_began_earlier() {
