A kept version with any one bit turned is told as torn

Cause: the checksum's digits were read in either case, so a turned bit in one of them went unseen; the contents were still held against it. Change: the digits are compared as written.

--- a/crates/control-client/src/keep.rs
+++ b/crates/control-client/src/keep.rs
@@ -64,8 +64,7 @@
         return Err(if MARK.starts_with(text) { NotKept::Torn("it ends early") } else { NotKept::Foreign });
     };
     let (sum, body) = rest.split_at_checked(SUM + 1).ok_or(NotKept::Torn("it ends early"))?;
-    let told = std::str::from_utf8(&sum[..SUM]).ok().and_then(|hex| blake3::Hash::from_hex(hex).ok());
-    if told != Some(blake3::hash(body)) || sum[SUM] != b'\n' {
+    if sum[..SUM] != *blake3::hash(body).to_hex().as_bytes() || sum[SUM] != b'\n' {
         return Err(NotKept::Torn("its checksum is not that of its contents"));
     }
     Version::decode(body).map_err(|_| NotKept::Torn("its contents can't be read"))
