make measure-control: 5,000 brokers and a service that restarts, in virtual time

Cause: what a fleet does to a control service that comes back can't be seen with three processes. Change: crates/lab, program barleydrum-lab: a fleet of the product's own keepers against a model service, beside brokers that call again after a fixed wait, in one run.

--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,19 @@
 # Tasks for people; CI runs .ci/run.
-.PHONY: help build test lint run
+.PHONY: help build test lint run measure-control
 
 help:
 	@echo "build  the release build of all programs"
 	@echo "test   all tests"
 	@echo "lint   formatting and clippy"
 	@echo "run    one broker, CONFIG=path of its config file"
+	@echo "measure-control  a fleet's versions in virtual time; SIZE=small for a short one"
 
 build:
 	cargo build --release --locked
 
 test:
 	cargo test --workspace --locked
+	cargo test --package broker --features control --locked
 
 lint:
 	cargo fmt --all --check
@@ -19,3 +21,7 @@
 
 run: build
 	EDGE_CONFIG=$(CONFIG) target/release/barleydrum
+
+measure-control:
+	cargo build --release --locked --package lab
+	target/release/barleydrum-lab measure control --size $(or $(SIZE),full)
