What was withdrawn, and a trial under way, outlast the process

Cause: a broker that was restarted would have taken a withdrawn version again, and one that a version kills would have started into the same death for ever. Change: the keeper's memory (highest number, withdrawn versions, the one on trial with its strikes) goes into the kept file before a version is applied; after three ends on trial it is not tried again. A trial that was cut short goes on. steady_ms is 10 s by default: streams of 20 s counted as failures before.

--- a/crates/broker/tests/control/main.rs
+++ b/crates/broker/tests/control/main.rs
@@ -197,6 +197,46 @@
     assert!(broker.log.iter().any(|line| line.contains("it is torn")), "{:#?}", broker.log);
 }
 
+/// Killed while a version is on trial, it is tried again; what was withdrawn stays so past a restart.
+#[rstest]
+fn goes_on_with_a_trial_and_remembers_what_it_withdrew() {
+    let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
+    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let kept = folder.path().join("kept");
+    let control = format!(
+        "trial_ms = 300\nlongest_trial_ms = 60000\ncount_every_ms = 20\nmargin = 0.1\nkeep_file = {}",
+        kept.display()
+    );
+    let start = || {
+        let services = vec![service.address];
+        Broker::start(&Start { folder: folder.path(), name: "n0", node, services, control: &control })
+    };
+    let mut broker = start();
+    service.publish(1, INSTALLATION, &text(1));
+    wait_until("the first is on trial", || broker.told().standing == "on trial");
+    broker.kill();
+    let mut broker = start();
+    wait_until("the first is on trial again", || broker.told().number == 1);
+    let mut client = Client::new("c", broker.listens);
+    wait_until("the first is confirmed", || {
+        assert_eq!(client.ask("lookup", 2).status, 200);
+        broker.told().standing == "confirmed"
+    });
+    let mut bad = document(2);
+    (bad["Domain"]["Cells"], bad["Services"][0]["OnTimeMs"]) = (json!(3), json!(60.0));
+    service.publish(2, INSTALLATION, bad.to_string().as_bytes());
+    wait_until("the second is withdrawn", || {
+        client.ask("lookup", 2);
+        broker.told().last_refusal.is_some()
+    });
+    broker.kill();
+    let broker = start();
+    wait_until("the second is turned down", || broker.told().last_refusal.is_some());
+    let why = broker.told().last_refusal.unwrap().1;
+    assert!(why.starts_with("these contents were withdrawn as version 2"), "{why}");
+    assert_eq!(broker.told().number, 1);
+}
+
 /// Documents that must not cost a broker its life: each is turned down with its reason, and it serves on.
 #[rstest]
 #[case(vec![b' '; 10 << 20], "10485760 bytes, at most 1048576 are allowed")]
--- a/crates/control-client/src/follow.rs
+++ b/crates/control-client/src/follow.rs
@@ -2,12 +2,13 @@
 //! prescription before it answers a service, so that no answer runs ahead of what is applied.
 
 use crate::shelf::{Restored, Shelf};
-use crate::wire::{self, MOST_ON_WIRE, Version};
+use crate::wire::{self, Kept, MOST_ON_WIRE, Version};
 use crate::{csds, keep};
 use arc_swap::ArcSwap;
 use barleydrum::Tenths;
 use control::{
-    Effect, Input, Keeper, Nonce, Offer, Patience, Report, Sample, ServiceNo, StreamNo, VersionId, Word,
+    Effect, Input, Keeper, Memory, Nonce, Offer, Patience, Report, Sample, ServiceNo, StreamNo, VersionId,
+    Word,
 };
 use envoy_types::pb::envoy::config::core::v3::Node;
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_client::AggregatedDiscoveryServiceClient;
@@ -64,7 +65,8 @@
 
 impl Shown {
     pub fn new(post: &Post, runs: VersionId) -> Arc<Shown> {
-        let keeper = Keeper::new(post.patience.clone(), post.services.len(), runs, post.seed, unix_now());
+        let keeper =
+            Keeper::new(post.patience.clone(), post.services.len(), Memory::of(runs), post.seed, unix_now());
         Arc::new(Shown {
             name: post.name.clone(),
             installation: post.installation.clone(),
@@ -86,10 +88,10 @@
 
 /// Follows until the broker is gone.
 pub async fn follow<S: Seat>(post: Post, restored: Restored, seat: S, shown: Arc<Shown>) {
-    let runs = restored.runs.version;
     let (tell, mut heard) = mpsc::channel(WAITING);
     let clock = Clock { started: Instant::now(), unix: unix_now() };
-    let keeper = Keeper::new(post.patience.clone(), post.services.len(), runs, post.seed, clock.now());
+    let keeper =
+        Keeper::new(post.patience.clone(), post.services.len(), restored.memory, post.seed, clock.now());
     let shelf = Shelf::new(restored.start, restored.runs);
     let mut follower = Follower { post, keeper, shelf, seat, shown, clock, tell, line: None, wake_at: None };
     let mut counting = interval(follower.post.count_every);
@@ -226,8 +228,11 @@
             }
             Effect::Keep(version) => {
                 self.shelf.confirm();
-                self.keep(version).await;
+                if self.write_down().await {
+                    info!(number = version.number, digest = %version.digest, "version kept");
+                }
             }
+            Effect::Remember => _ = self.write_down().await,
             Effect::WakeAt(at) => self.wake_at = Some(self.clock.instant(at)),
             Effect::Say(word) => self.say(&word),
         }
@@ -264,26 +269,25 @@
         }
     }
 
-    /// Writes on a thread for that: a slow disk holds up neither the streams nor the broker.
-    async fn keep(&self, version: VersionId) {
-        let Some(path) = self.post.keep.clone() else { return };
-        let document = self.shelf.confirmed.document.canonical();
-        let kept = Version {
-            number: version.number,
-            digest: version.digest.0.to_vec(),
-            document,
+    /// Writes on a thread for that: a slow disk holds up neither the broker nor its status. Whether it was written.
+    async fn write_down(&self) -> bool {
+        let Some(path) = self.post.keep.clone() else { return false };
+        let confirmed = &self.shelf.confirmed;
+        let version = (confirmed.version.number > 0).then(|| Version {
+            number: confirmed.version.number,
+            digest: confirmed.version.digest.0.to_vec(),
+            document: confirmed.document.canonical(),
             installation: self.post.installation.clone(),
             note: String::new(),
-        };
+        });
+        let kept = Kept::of(&self.keeper.memory(), version);
         let written =
             tokio::task::spawn_blocking(move || keep::write(&path, &kept).map_err(|e| e.to_string()));
-        match written.await.map_err(|e| e.to_string()).and_then(|written| written) {
-            Ok(()) => info!(number = version.number, digest = %version.digest, "version kept"),
-            Err(why) => warn!(
-                number = version.number, digest = %version.digest, reason = why,
-                "version not kept: a restart would go back to the last one that was"
-            ),
+        let written = written.await.map_err(|e| e.to_string()).and_then(|written| written);
+        if let Err(why) = &written {
+            warn!(reason = why, "nothing kept: a restart would go back to what was kept last");
         }
+        written.is_ok()
     }
 
     fn say(&self, word: &Word) {
--- a/crates/control-client/src/keep.rs
+++ b/crates/control-client/src/keep.rs
@@ -1,7 +1,7 @@
-//! The last good version in one file. It is replaced as a whole, so that at any moment the file is the old one or
+//! The last good version, and what else must outlast the process, in one file. It is replaced as a whole, so that at any moment the file is the old one or
 //! the new one; what is torn or foreign is told as such, and never taken for a version.
 
-use crate::wire::Version;
+use crate::wire::Kept;
 use prost::Message;
 use std::fs::File;
 use std::io::{self, Read, Write};
@@ -10,6 +10,8 @@
 
 /// The first line of such a file.
 const MARK: &[u8] = b"barleydrum kept version, form 1\n";
+/// Bytes that may stand beside a document.
+const BESIDE: usize = 64 * 1024;
 /// Hex digits of the checksum in the second line.
 const SUM: usize = 64;
 
@@ -28,9 +30,9 @@
 
 /// Writes the version beside the file, makes sure of it on the disk, puts it in the file's place, and makes sure of
 /// the folder. A crash at any point leaves the old file or the new.
-pub fn write(path: &Path, version: &Version) -> io::Result<()> {
+pub fn write(path: &Path, kept: &Kept) -> io::Result<()> {
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
-    let body = version.encode_to_vec();
+    let body = kept.encode_to_vec();
     let mut file = tempfile::Builder::new().prefix(".kept-").tempfile_in(folder)?;
     file.write_all(MARK)?;
     writeln!(file, "{}", blake3::hash(&body).to_hex())?;
@@ -41,13 +43,13 @@
 }
 
 /// Reads it; `most` bounds the document and, with some room for the rest, the file.
-pub fn read(path: &Path, most: usize) -> Result<Version, NotKept> {
+pub fn read(path: &Path, most: usize) -> Result<Kept, NotKept> {
     let file = match File::open(path) {
         Ok(file) => file,
         Err(e) if e.kind() == io::ErrorKind::NotFound => return Err(NotKept::Absent),
         Err(e) => return Err(NotKept::Io(e)),
     };
-    let bound = most as u64 + 4096;
+    let bound = (most + BESIDE) as u64;
     let mut text = Vec::new();
     file.take(bound + 1).read_to_end(&mut text).map_err(NotKept::Io)?;
     if text.len() as u64 > bound {
@@ -56,7 +58,7 @@
     parse(&text)
 }
 
-fn parse(text: &[u8]) -> Result<Version, NotKept> {
+fn parse(text: &[u8]) -> Result<Kept, NotKept> {
     if text.is_empty() {
         return Err(NotKept::Torn("it is empty"));
     }
@@ -67,16 +69,18 @@
     if sum[..SUM] != *blake3::hash(body).to_hex().as_bytes() || sum[SUM] != b'\n' {
         return Err(NotKept::Torn("its checksum is not that of its contents"));
     }
-    Version::decode(body).map_err(|_| NotKept::Torn("its contents can't be read"))
+    Kept::decode(body).map_err(|_| NotKept::Torn("its contents can't be read"))
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::wire::Version;
     use rstest::rstest;
 
-    fn version(number: u64) -> Version {
-        Version::of(number, "site", br#"{"a": 1}"#).unwrap()
+    fn version(number: u64) -> Kept {
+        let version = Version::of(number, "site", br#"{"a": 1}"#);
+        Kept { version, highest: number, ..Kept::default() }
     }
 
     #[rstest]
@@ -108,7 +112,7 @@
             assert!(parse(&turned).is_err(), "a bit at {at}");
         }
         assert!(matches!(parse(b"{\"a\": 1}"), Err(NotKept::Foreign)));
-        std::fs::write(&path, vec![b'x'; 10_000]).unwrap();
+        std::fs::write(&path, vec![b'x'; 100_000]).unwrap();
         assert!(matches!(read(&path, 100), Err(NotKept::Torn(_))));
     }
 }
--- a/crates/control-client/src/shelf.rs
+++ b/crates/control-client/src/shelf.rs
@@ -2,8 +2,8 @@
 //! confirmed. It turns documents into what the broker takes over, and decides nothing.
 
 use crate::keep;
-use crate::wire::Version;
-use control::{Digest, VersionId};
+use crate::wire::{Kept, Version};
+use control::{Digest, Memory, VersionId};
 use intake::{Catalogue, Document, Intake, Mistake, Revised, revise};
 use std::path::Path;
 
@@ -78,6 +78,7 @@
 pub struct Restored {
     pub start: Document,
     pub runs: Shelved,
+    pub memory: Memory,
     /// Why a kept file was passed over.
     pub passed_over: Option<String>,
 }
@@ -93,17 +94,23 @@
 ) -> Restored {
     let version = VersionId { number: 0, digest: Digest::of(&own.canonical()) };
     let fallback = Shelved { version, document: own.clone(), intake: intake.clone() };
-    let kept = file.map(|path| match keep::read(path, most) {
-        Err(keep::NotKept::Absent) => Ok(None),
-        Err(why) => Err(format!("{}: {why}", path.display())),
-        Ok(kept) => take_kept(&own, intake, &kept, installation, most)
-            .map(Some)
-            .map_err(|why| format!("{}: {why}", path.display())),
-    });
-    match kept.unwrap_or(Ok(None)) {
-        Ok(Some(runs)) => Restored { start: own, runs, passed_over: None },
-        Ok(None) => Restored { start: own, runs: fallback, passed_over: None },
-        Err(why) => Restored { start: own, runs: fallback, passed_over: Some(why) },
+    let begin = |runs: Shelved, kept: Option<&Kept>, passed_over| {
+        let fresh = Memory::of(runs.version);
+        let memory = kept.map_or(fresh, |kept| kept.memory(runs.version));
+        Restored { start: own.clone(), runs, memory, passed_over }
+    };
+    let Some(path) = file else { return begin(fallback, None, None) };
+    let named = |why: String| Some(format!("{}: {why}", path.display()));
+    let kept = match keep::read(path, most) {
+        Ok(kept) => kept,
+        Err(keep::NotKept::Absent) => return begin(fallback, None, None),
+        Err(why) => return begin(fallback, None, named(why.to_string())),
+    };
+    match kept.version.as_ref().map(|version| take_kept(&own, intake, version, installation, most)) {
+        Some(Ok(runs)) => begin(runs, Some(&kept), None),
+        // Its numbers and refusals hold, though its contents can't be taken over by this broker.
+        Some(Err(why)) => begin(fallback, Some(&kept), named(why)),
+        None => begin(fallback, Some(&kept), None),
     }
 }
 
--- a/crates/control-client/src/wire.rs
+++ b/crates/control-client/src/wire.rs
@@ -1,7 +1,7 @@
 //! The project's own resource in xDS's transport, and how a response is read. A version's number stands in the
 //! response's `version_info` too, so that operators of other proxies see it where they look for it.
 
-use control::{Digest, Offer, VersionId};
+use control::{Digest, Memory, Offer, VersionId};
 use envoy_types::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
 use envoy_types::pb::google::protobuf::Any;
 use envoy_types::pb::google::rpc::Status;
@@ -72,6 +72,75 @@
     }
 }
 
+/// What a broker keeps on its disk.
+#[derive(Clone, PartialEq, Message)]
+pub struct Kept {
+    /// The last confirmed version; none: its own file.
+    #[prost(message, optional, tag = "1")]
+    pub version: Option<Version>,
+    #[prost(uint64, tag = "2")]
+    pub highest: u64,
+    #[prost(message, repeated, tag = "3")]
+    pub withdrawn: Vec<Withdrawn>,
+    /// The version on trial, and how often it was applied without its trial's end.
+    #[prost(message, optional, tag = "4")]
+    pub trying: Option<Withdrawn>,
+    #[prost(uint32, tag = "5")]
+    pub strikes: u32,
+}
+
+/// A version without its contents, and a word on it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Withdrawn {
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    pub digest: Vec<u8>,
+    #[prost(string, tag = "3")]
+    pub why: String,
+}
+
+/// Withdrawn versions that are kept, the newest, and the bytes of each one's reason.
+const KEPT_WITHDRAWN: usize = 32;
+const KEPT_WHY: usize = 500;
+
+impl Withdrawn {
+    fn of(version: VersionId, why: &str) -> Withdrawn {
+        let why: String = why.chars().take(KEPT_WHY).collect();
+        Withdrawn { number: version.number, digest: version.digest.0.to_vec(), why }
+    }
+
+    fn id(&self) -> Option<VersionId> {
+        let digest = Digest(<[u8; 32]>::try_from(&self.digest[..]).ok()?);
+        Some(VersionId { number: self.number, digest })
+    }
+}
+
+impl Kept {
+    pub fn of(memory: &Memory, version: Option<Version>) -> Kept {
+        let mut withdrawn: Vec<_> = memory.withdrawn.iter().collect();
+        withdrawn.sort_by_key(|(version, _)| std::cmp::Reverse(version.number));
+        withdrawn.truncate(KEPT_WITHDRAWN);
+        Kept {
+            version,
+            highest: memory.highest,
+            withdrawn: withdrawn.into_iter().map(|(version, why)| Withdrawn::of(*version, why)).collect(),
+            trying: memory.trying.map(|(version, _)| Withdrawn::of(version, "")),
+            strikes: memory.trying.map_or(0, |(_, strikes)| strikes),
+        }
+    }
+
+    /// The memory, with what the broker goes on with.
+    pub fn memory(&self, confirmed: VersionId) -> Memory {
+        Memory {
+            confirmed,
+            highest: self.highest,
+            withdrawn: self.withdrawn.iter().filter_map(|w| Some((w.id()?, w.why.clone()))).collect(),
+            trying: self.trying.as_ref().and_then(|tried| Some((tried.id()?, self.strikes))),
+        }
+    }
+}
+
 /// What a response brought: a version and its document, or the offer that stands for why there is none.
 pub fn read(
     response: &DiscoveryResponse,
--- a/crates/control/src/effects.rs
+++ b/crates/control/src/effects.rs
@@ -43,6 +43,8 @@
     PutBack(VersionId),
     /// This version is confirmed: keep its contents, for a withdrawal and for a restart.
     Keep(VersionId),
+    /// Write down [`crate::Memory`], before what comes next is done.
+    Remember,
     /// Be told `Due` at this moment.
     WakeAt(Tenths),
     Say(Word),
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -7,7 +7,7 @@
 use crate::patience::Patience;
 use crate::trial::{Past, Sample, Sky, Trial, Verdict};
 use crate::version::VersionId;
-use crate::versions::{Event, Refusal, Say, Standing, Versions};
+use crate::versions::{Event, Memory, Refusal, Say, Standing, Versions};
 use barleydrum::Tenths;
 use std::collections::VecDeque;
 
@@ -49,12 +49,12 @@
 }
 
 impl Keeper {
-    /// Of a broker that runs this, confirmed, and may ask so many services.
-    pub fn new(patience: Patience, services: usize, runs: VersionId, seed: u64, now: Tenths) -> Keeper {
+    /// Of a broker with this memory, that may ask so many services.
+    pub fn new(patience: Patience, services: usize, memory: Memory, seed: u64, now: Tenths) -> Keeper {
         let rng = fastrand::Rng::with_seed(seed);
         Keeper {
             line: Line::new(patience.clone(), services, rng),
-            versions: Versions::new(runs, now),
+            versions: Versions::new(memory, now),
             past: Past::default(),
             during: Vec::new(),
             counts: Sample::default(),
@@ -81,6 +81,11 @@
         self.versions.runs()
     }
 
+    /// What must outlast the process.
+    pub fn memory(&self) -> Memory {
+        self.versions.memory()
+    }
+
     /// The highest number accepted; it never falls.
     pub fn highest(&self) -> u64 {
         self.versions.highest()
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,10 +12,10 @@
 //!
 //! ```
 //! use barleydrum::Tenths;
-//! use control::{Digest, Effect, Input, Keeper, Offer, Patience, VersionId};
+//! use control::{Digest, Effect, Input, Keeper, Memory, Patience, VersionId};
 //!
 //! let own = VersionId { number: 0, digest: Digest::of(b"the broker's own file") };
-//! let mut keeper = Keeper::new(Patience::default(), 1, own, 7, Tenths(0));
+//! let mut keeper = Keeper::new(Patience::default(), 1, Memory::of(own), 7, Tenths(0));
 //! let effects = keeper.hear(Tenths(0), Input::Start);
 //! assert!(matches!(effects[..], [Effect::Call { .. }, ..]));
 //! ```
@@ -35,4 +35,4 @@
 pub use patience::Patience;
 pub use trial::Sample;
 pub use version::{Digest, VersionId};
-pub use versions::{Refusal, Standing};
+pub use versions::{Memory, Refusal, Standing};
--- a/crates/control/src/patience.rs
+++ b/crates/control/src/patience.rs
@@ -38,7 +38,7 @@
             calls: 10,
             calls_window: seconds(60),
             call_within: seconds(15),
-            steady: seconds(30),
+            steady: seconds(10),
             suspect_for: seconds(300),
             trial: seconds(60),
             longest_trial: seconds(900),
--- a/crates/control/src/versions.rs
+++ b/crates/control/src/versions.rs
@@ -104,6 +104,28 @@
 
 /// Numbers and withdrawn digests that are remembered; the oldest are forgotten first.
 const REMEMBERED: usize = 256;
+/// A version during whose trial the process ended so often is not tried again. One end may be anybody's doing.
+const MOST_STRIKES: u32 = 3;
+
+/// What must outlast the process, where there is a disk.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Memory {
+    /// What it goes on with.
+    pub confirmed: VersionId,
+    /// The highest number accepted.
+    pub highest: u64,
+    /// Versions that were withdrawn, and why.
+    pub withdrawn: Vec<(VersionId, String)>,
+    /// The version on trial, and how often it was applied by a process that did not see its trial's end.
+    pub trying: Option<(VersionId, u32)>,
+}
+
+impl Memory {
+    /// Of a broker that has none but what it runs.
+    pub fn of(runs: VersionId) -> Memory {
+        Memory { confirmed: runs, highest: runs.number, withdrawn: Vec::new(), trying: None }
+    }
+}
 
 #[derive(Debug)]
 pub struct Versions {
@@ -117,23 +139,53 @@
     known: BTreeMap<u64, Digest>,
     withdrawn: BTreeMap<Digest, (u64, String)>,
     last_refusal: Option<Refusal>,
+    trying: Option<(VersionId, u32)>,
     /// The running version's trial ended without a verdict, and why.
     unproven: Option<String>,
 }
 
 impl Versions {
-    /// Of a broker that runs this, confirmed: its own file, or what it kept from before.
-    pub fn new(runs: VersionId, now: Tenths) -> Versions {
-        Versions {
+    /// Of a broker with this memory, that runs what it confirmed: its own file, or what it kept from before.
+    pub fn new(memory: Memory, now: Tenths) -> Versions {
+        let Memory { confirmed: runs, highest, withdrawn, trying } = memory;
+        let withdrawn = withdrawn.into_iter().map(|(version, why)| (version.digest, (version.number, why)));
+        let mut versions = Versions {
             runs,
             since: now,
             standing: Settled,
             confirmed: runs,
-            highest: runs.number,
+            highest: highest.max(runs.number),
             known: BTreeMap::from([(runs.number, runs.digest)]),
-            withdrawn: BTreeMap::new(),
+            withdrawn: withdrawn.collect(),
             last_refusal: None,
+            trying,
             unproven: None,
+        };
+        versions.strike_out(now);
+        versions
+    }
+
+    /// Guards against a version that ends the process again and again, before any trial could judge it.
+    fn strike_out(&mut self, now: Tenths) {
+        let Some((version, strikes)) = self.trying.filter(|(_, strikes)| *strikes >= MOST_STRIKES) else {
+            return;
+        };
+        let why = format!("the broker ended {strikes} times while it was on trial");
+        self.trying = None;
+        self.highest = self.highest.max(version.number);
+        self.withdrawn.insert(version.digest, (version.number, why.clone()));
+        self.last_refusal = Some(Refusal { number: Some(version.number), why, at: now });
+    }
+
+    pub fn memory(&self) -> Memory {
+        let version = |(digest, (number, why)): (&Digest, &(u64, String))| {
+            (VersionId { number: *number, digest: *digest }, why.clone())
+        };
+        Memory {
+            confirmed: self.confirmed,
+            highest: self.highest,
+            withdrawn: self.withdrawn.iter().map(version).collect(),
+            trying: self.trying,
         }
     }
 
@@ -180,6 +232,9 @@
             (Withdrawn, format!("these contents were withdrawn as version {was}: {why}"))
         } else if let Some(known) = self.known.get(&number).filter(|known| **known != digest) {
             (Forked, format!("a fork: version {number} is {} here, not {}", known.short(), digest.short()))
+        } else if self.trying.is_some_and(|(tried, _)| tried == version) {
+            // The process ended during its trial, and goes on where it was.
+            (Newer, String::new())
         } else if number <= self.highest {
             (Older, format!("version {number} is older than version {}, accepted before", self.highest))
         } else if digest == self.runs.digest {
@@ -241,7 +296,9 @@
         let Some(version) = occasion.version else { return };
         self.accept(version);
         (self.runs, self.since, self.unproven) = (version, occasion.now, None);
-        effects.extend([Effect::Apply(version), Effect::Say(Word::Applied(version))]);
+        let strikes = self.trying.filter(|(tried, _)| *tried == version).map_or(0, |(_, strikes)| strikes);
+        self.trying = Some((version, strikes + 1));
+        effects.extend([Effect::Remember, Effect::Apply(version), Effect::Say(Word::Applied(version))]);
     }
 
     /// The same contents under a higher number: nothing is applied, and what was proven stays so.
@@ -260,6 +317,7 @@
     fn go_back(&mut self, occasion: &Occasion, effects: &mut Vec<Effect>) {
         let Some(version) = occasion.version else { return };
         (self.runs, self.since, self.unproven) = (self.confirmed, occasion.now, None);
+        self.trying = None;
         effects.push(Effect::PutBack(self.runs));
         self.relabel(occasion, effects);
         debug_assert_eq!(self.confirmed, version);
@@ -274,12 +332,12 @@
     }
 
     fn confirm(&mut self, _: &Occasion, effects: &mut Vec<Effect>) {
-        self.confirmed = self.runs;
+        (self.confirmed, self.trying) = (self.runs, None);
         effects.extend([Effect::Keep(self.runs), Effect::Say(Word::Confirmed(self.runs))]);
     }
 
     fn confirm_unproven(&mut self, occasion: &Occasion, effects: &mut Vec<Effect>) {
-        self.confirmed = self.runs;
+        (self.confirmed, self.trying) = (self.runs, None);
         self.unproven = Some(occasion.why.to_owned());
         let word = Word::Unproven(self.runs, occasion.why.to_owned());
         effects.extend([Effect::Keep(self.runs), Effect::Say(word)]);
@@ -298,7 +356,8 @@
         self.withdrawn.insert(failed.digest, (failed.number, why.clone()));
         (self.runs, self.since, self.unproven) = (self.confirmed, occasion.now, None);
         self.last_refusal = Some(Refusal { number: Some(failed.number), why: why.clone(), at: occasion.now });
-        effects.push(Effect::PutBack(self.runs));
+        self.trying = None;
+        effects.extend([Effect::PutBack(self.runs), Effect::Remember]);
         effects.push(Effect::Say(Word::Withdrawn { version: failed, runs: self.runs, why }));
     }
 
--- a/crates/control/tests/life.rs
+++ b/crates/control/tests/life.rs
@@ -2,7 +2,8 @@
 
 use barleydrum::Tenths;
 use control::{
-    Digest, Effect, Input, Keeper, Nonce, Offer, Patience, Sample, Standing, StreamNo, VersionId, Word,
+    Digest, Effect, Input, Keeper, Memory, Nonce, Offer, Patience, Sample, Standing, StreamNo, VersionId,
+    Word,
 };
 use proptest::prelude::*;
 use rstest::rstest;
@@ -26,15 +27,21 @@
     answers: BTreeMap<(StreamNo, Nonce), usize>,
     refusals: Vec<String>,
     kept: VersionId,
+    written: Option<Memory>,
     counts: Sample,
     words: Vec<Word>,
 }
 
 impl Play {
     fn new(services: usize) -> Play {
-        let own = version(0, "own");
+        Play::with(services, Memory::of(version(0, "own")))
+    }
+
+    /// Of a broker that was started anew with this memory.
+    fn with(services: usize, memory: Memory) -> Play {
+        let own = memory.confirmed;
         let mut play = Play {
-            keeper: Keeper::new(Patience::default(), services, own, 1, Tenths(0)),
+            keeper: Keeper::new(Patience::default(), services, memory, 1, Tenths(0)),
             now: 0,
             stream: StreamNo(0),
             calling: false,
@@ -45,6 +52,7 @@
             answers: BTreeMap::new(),
             refusals: Vec::new(),
             kept: own,
+            written: None,
             counts: Sample { ready: 10, ..Sample::default() },
             words: Vec::new(),
         };
@@ -92,6 +100,8 @@
                 }
                 Effect::Apply(version) => {
                     assert_ne!(self.applied, version, "applied twice");
+                    let trying = self.written.as_ref().and_then(|memory| memory.trying);
+                    assert_eq!(trying.map(|(tried, _)| tried), Some(version), "not written down before");
                     self.applied = version;
                     self.applications.push(version);
                     (self.counts.ended, self.counts.bad) = (0, 0);
@@ -109,6 +119,7 @@
                     assert_eq!(version, self.applied);
                     self.kept = version;
                 }
+                Effect::Remember => self.written = Some(self.keeper.memory()),
                 Effect::WakeAt(at) => assert!(at.0 >= self.now),
                 Effect::Say(word) => self.words.push(word),
             }
@@ -288,6 +299,43 @@
     assert_eq!(play.applied, version(1, "a"));
 }
 
+/// What was withdrawn, and the highest number, outlast the process.
+#[rstest]
+fn remembers_past_its_end() {
+    let mut play = Play::connected(1);
+    play.sound(1, "good");
+    play.serve(121, 0);
+    play.sound(5, "bad");
+    play.serve(3, 20);
+    let mut play = Play::with(1, play.written.unwrap());
+    play.open();
+    assert_eq!(play.applied, version(1, "good"));
+    play.sound(6, "bad");
+    assert!(play.last_refusal().starts_with("these contents were withdrawn as version 5"));
+    play.sound(4, "older");
+    assert!(play.last_refusal().starts_with("version 4 is older than version 5"));
+}
+
+/// A version that ends the process before any trial could judge it is tried three times, and no more.
+#[rstest]
+fn does_not_end_the_process_for_ever() {
+    let mut memory = Memory::of(version(0, "own"));
+    for _ in 0..3 {
+        let mut play = Play::with(1, memory);
+        play.open();
+        play.sound(2, "deadly");
+        assert_eq!(play.applied, version(2, "deadly"));
+        memory = play.written.unwrap();
+    }
+    let mut play = Play::with(1, memory);
+    play.open();
+    play.sound(2, "deadly");
+    assert_eq!(play.applied, version(0, "own"));
+    assert!(play.last_refusal().contains("the broker ended 3 times while it was on trial"));
+    play.sound(3, "mended");
+    assert_eq!(play.applied, version(3, "mended"));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Sound { number: u64, contents: u8, late: bool, repeat: bool },
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -2,7 +2,7 @@
 //! by the baseline: call again after a fixed wait. The service, the network and the troubles are a model.
 
 use barleydrum::Tenths;
-use control::{Digest, Effect, Input, Keeper, Nonce, Offer, Patience, Sample, StreamNo, VersionId};
+use control::{Digest, Effect, Input, Keeper, Memory, Nonce, Offer, Patience, Sample, StreamNo, VersionId};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
@@ -99,7 +99,7 @@
             Manner::Keeper(patience) => Mind::Keeper(Box::new(Keeper::new(
                 (**patience).clone(),
                 1,
-                version(0),
+                Memory::of(version(0)),
                 rng.u64(..),
                 Tenths(0),
             ))),
@@ -304,7 +304,7 @@
                     (self.brokers[no].runs, self.brokers[no].counts) = (version, Sample::default());
                 }
                 Effect::WakeAt(at) => self.at(at, Event::Due(no)),
-                Effect::Subscribe { .. } | Effect::Keep(_) | Effect::Say(_) => {}
+                Effect::Subscribe { .. } | Effect::Keep(_) | Effect::Remember | Effect::Say(_) => {}
             }
         }
         let Mind::Keeper(keeper) = &self.brokers[no].mind else { return };
--- a/crates/operator/src/keys.rs
+++ b/crates/operator/src/keys.rs
@@ -38,7 +38,7 @@
     key("control", "longest_wait_ms",   "60000",   |v| between(v, 1.0, DAY)),
     key("control", "calls_per_minute",  "10",      |v| whole(v, 1.0, 600.0)),
     key("control", "call_within_ms",    "15000",   |v| between(v, 10.0, 600_000.0)),
-    key("control", "steady_ms",         "30000",   |v| between(v, 0.0, DAY)),
+    key("control", "steady_ms",         "10000",   |v| between(v, 0.0, DAY)),
     key("control", "suspect_ms",        "300000",  |v| between(v, 0.0, DAY)),
     key("control", "fleet_brokers",     "1",       |v| whole(v, 1.0, 1e6)),
     key("control", "fleet_calls_per_s", "100",     |v| between(v, 0.001, 1e6)),
