Readers of public traces: a verdict a line, bounded order, and barleydrum-lab trace check

Cause: the rehearsals of the school rush need arrivals, sizes and failures that nobody made up; published traces have them, and bad rows. Change: crates/trace. Five published layouts (Google 2011, Alibaba 2018, Azure 2017) as tables; a verdict for each line with line, column, what it holds, what was allowed and a stable code; order within a window, with a stated rule that tells a clock step from a stray row; duplicates, machines never added, policies.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,8 +1,9 @@
 //! The laboratory: measures the product's parts at size, in virtual time. Figures it prints are simulated.
-//! Exit codes: 0 the measure passed, 1 it did not, 2 a mistake in the words.
+//! Exit codes: 0 passed, or sound; 1 not so; 2 a mistake in the words, or a file that can't be begun.
 
 mod fleet;
 mod lean;
+mod traces;
 mod versions;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -13,7 +14,9 @@
 #[command(
     name = "barleydrum-lab",
     version,
-    after_help = "Examples:\n  barleydrum-lab measure control\n  barleydrum-lab measure control --size small --seed 7"
+    after_help = "Examples:\n  barleydrum-lab measure control\n  barleydrum-lab measure control --size small --seed 7\n  \
+        barleydrum-lab trace check task_events/part-00000-of-00500.csv.gz\n  \
+        barleydrum-lab trace check --layout azure-2017-vmtable --tolerate 0.01 --json vms.csv"
 )]
 struct Words {
     #[command(subcommand)]
@@ -22,6 +25,11 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// Public cluster traces in CSV.
+    Trace {
+        #[command(subcommand)]
+        command: TraceCommand,
+    },
     /// Measure a part; the last line is one JSON object.
     Measure {
         what: What,
@@ -39,6 +47,24 @@
     },
 }
 
+#[derive(Subcommand)]
+enum TraceCommand {
+    /// Say what of these files can be used: lines read, taken, and rejected by reason with the first of each.
+    Check {
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+        /// The layout, where a file's name does not tell.
+        #[arg(long)]
+        layout: Option<String>,
+        /// Rejected rows: `first` ends it at the first, `count` counts them, a share as 0.01 ends it past that.
+        #[arg(long, default_value = "count")]
+        tolerate: traces::Tolerance,
+        /// One JSON object for scripts.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum What {
     /// A fleet's versions: how it comes together when its control service restarts.
@@ -54,7 +80,12 @@
 }
 
 fn main() -> ExitCode {
-    let Command::Measure { what, size, seed, program, against } = Words::parse().command;
+    let (what, size, seed, program, against) = match Words::parse().command {
+        Command::Trace { command: TraceCommand::Check { files, layout, tolerate, json } } => {
+            return traces::check(&files, layout.as_deref(), tolerate, json);
+        }
+        Command::Measure { what, size, seed, program, against } => (what, size, seed, program, against),
+    };
     let brokers = match size {
         Size::Small => 500,
         Size::Full => 5000,
--- /dev/null
+++ b/crates/trace/tests/readers.rs
@@ -0,0 +1,283 @@
+//! Hand-written rows in the published layouts: each bad one is rejected with its reason, and nothing is lost unsaid.
+
+use flate2::Compression;
+use flate2::write::GzEncoder;
+use proptest::prelude::*;
+use rstest::rstest;
+use std::io::Write;
+use trace::*;
+
+const TASK: &str = "google-2011-task-events";
+const MACHINE: &str = "google-2011-machine-events";
+const BATCH: &str = "alibaba-2018-batch-task";
+const VM: &str = "azure-2017-vmtable";
+
+/// A sound row of each layout.
+fn sound(name: &str) -> &'static str {
+    match name {
+        TASK => "600000000,,3418309,0,4155527081,0,fadkjh=,3,9,0.125,0.07446,0.0004244,0",
+        MACHINE => "0,5,0,HofLGzk1Or/8Ildj2+Lqv0UGGvY82NLoni8+J/Yy0RU=,0.5,0.2493",
+        BATCH => "task_Nzg3ODAwNDgzMTAwNTc2NTQ2,2,j_3,12,Terminated,157213,157295,100.00,0.29",
+        VM => "vm+1,sub/1,dep=1,0,2591700,99.3,3.42,10.19,Interactive,2,4",
+        other => panic!("{other}"),
+    }
+}
+
+fn read(name: &str, text: &[u8]) -> Vec<Verdict> {
+    Reader::new(layout(name).unwrap(), text).unwrap().collect()
+}
+
+fn reasons(verdicts: &[Verdict]) -> Vec<&'static str> {
+    let reason = |verdict: &Verdict| match verdict {
+        Verdict::Taken(_) => "taken",
+        Verdict::Rejected(rejected) => rejected.reason.code(),
+    };
+    verdicts.iter().map(reason).collect()
+}
+
+#[rstest]
+#[case(TASK, 600_000_000, "3418309", "0")]
+#[case(BATCH, 157_213_000_000, "j_3", "task_Nzg3ODAwNDgzMTAwNTc2NTQ2")]
+#[case(VM, 0, "dep=1", "vm+1")]
+fn takes_work(#[case] name: &str, #[case] at: u64, #[case] job: &str, #[case] task: &str) {
+    let verdicts = read(name, sound(name).as_bytes());
+    let [Verdict::Taken(row)] = &verdicts[..] else { panic!("{verdicts:?}") };
+    let What::Work { job: j, task: t, .. } = &row.what else { panic!("{row:?}") };
+    assert_eq!((row.at, &j[..], &t[..]), (at, job, task));
+}
+
+/// One field changed: line, column, what it holds, what was allowed, and the reason.
+#[rstest]
+#[case(TASK, 0, "-5", "negative", "timestamp")]
+#[case(TASK, 0, "", "missing-value", "timestamp")]
+#[case(TASK, 0, "6e8", "not-a-number", "timestamp")]
+#[case(TASK, 0, "18446744073709551615", "out-of-range", "timestamp")]
+#[case(TASK, 0, "99999999999999999999999", "out-of-range", "timestamp")]
+#[case(TASK, 5, "9", "unknown-event", "event type")]
+#[case(TASK, 7, "4", "out-of-range", "scheduling class")]
+#[case(TASK, 9, "NaN", "not-a-number", "CPU request")]
+#[case(TASK, 9, "-0.5", "negative", "CPU request")]
+#[case(TASK, 9, "inf", "out-of-range", "CPU request")]
+#[case(MACHINE, 2, "7", "unknown-event", "event type")]
+#[case(BATCH, 4, "Exploded", "unknown-event", "status")]
+#[case(BATCH, 6, "157212", "ends-before-start", "end_time")]
+#[case(BATCH, 1, "2.5", "not-a-number", "instance_num")]
+#[case(VM, 4, "x", "not-a-number", "vmdeleted")]
+#[case(VM, 8, "Sleepy", "unknown-event", "vmcategory")]
+fn says_what_is_wrong(
+    #[case] name: &str,
+    #[case] at: usize,
+    #[case] holds: &str,
+    #[case] code: &str,
+    #[case] column: &str,
+) {
+    let mut fields: Vec<&str> = sound(name).split(',').collect();
+    fields[at] = holds;
+    let text = format!("{}\n{}\n", sound(name), fields.join(","));
+    let verdicts = read(name, text.as_bytes());
+    let [Verdict::Taken(_), Verdict::Rejected(rejected)] = &verdicts[..] else { panic!("{verdicts:?}") };
+    assert_eq!((rejected.line, rejected.reason.code(), rejected.column), (2, code, Some(column)));
+    assert!(!rejected.allowed.is_empty() && rejected.to_string().contains(column), "{rejected}");
+}
+
+/// Lines that no row can be, in the midst of sound ones: each is one verdict, and those after it are sound.
+#[rstest]
+#[case(b"1,2,3".to_vec(), "columns-missing")]
+#[case([sound(TASK).as_bytes(), b",1"].concat(), "columns-extra")]
+#[case(b"".to_vec(), "blank")]
+#[case(b"   \t".to_vec(), "blank")]
+#[case(sound(TASK).replace("fadkjh=", "\"fadkjh").into_bytes(), "quotes")]
+#[case(sound(TASK).replace("fadkjh=", "fad\0kjh").into_bytes(), "not-utf8")]
+#[case([b"600000000,,3418309,0,4155527081,0,", &[0xff, 0xfe][..], b",3,9,0.125,0.07446,0.0004244,0"].concat(), "not-utf8")]
+#[case(vec![b'7'; 5 << 20], "too-long")]
+fn goes_on_behind_a_broken_line(#[case] line: Vec<u8>, #[case] code: &str) {
+    let text = [sound(TASK).as_bytes(), b"\n", &line, b"\n", sound(TASK).as_bytes(), b"\r\n"].concat();
+    assert_eq!(reasons(&read(TASK, &text)), ["taken", code, "taken"]);
+}
+
+/// A quoted field with a comma in it is one field.
+#[rstest]
+fn reads_quoted_fields() {
+    let text = sound(TASK).replace("fadkjh=", "\"fad,\"\"kjh\"");
+    let verdicts = read(TASK, text.as_bytes());
+    let [Verdict::Taken(Row { what: What::Work { caller, .. }, .. })] = &verdicts[..] else {
+        panic!("{verdicts:?}")
+    };
+    assert_eq!(&caller[..], "fad,\"kjh");
+}
+
+fn packed(text: &[u8]) -> Vec<u8> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    encoder.write_all(text).unwrap();
+    encoder.finish().unwrap()
+}
+
+#[rstest]
+fn reads_gzip_and_tells_where_it_ends_midway() {
+    let text: String = (0..5000).map(|no| sound(TASK).replace("3418309", &no.to_string()) + "\n").collect();
+    let whole = packed(text.as_bytes());
+    assert_eq!(read(TASK, &whole).len(), 5000);
+    let verdicts = read(TASK, &whole[..whole.len() / 2]);
+    let codes = reasons(&verdicts);
+    assert_eq!(codes.last(), Some(&"ends-midway"));
+    assert!(codes[..codes.len() - 1].iter().all(|code| *code == "taken"));
+    // A plain one that was cut in its last line.
+    let cut = format!("{}\n{}", sound(TASK), &sound(TASK)[..30]);
+    assert_eq!(reasons(&read(TASK, cut.as_bytes())), ["taken", "ends-midway"]);
+    assert_eq!(reasons(&read(TASK, sound(TASK).as_bytes())), ["taken"], "a last line needs no end");
+}
+
+// ---- order
+
+const SECOND: u64 = 1_000_000;
+
+/// Puts rows of these seconds in order: the seconds that went out, and the reasons of the others by line.
+fn ordered(seconds: &[u64]) -> (Vec<u64>, Vec<(u64, &'static str)>, usize) {
+    let window = Window { late: 5 * SECOND, leap: 3600 * SECOND, rows: 64, step_rows: 4 };
+    let mut order = Order::new(window);
+    let mut out = Vec::new();
+    for (at, second) in seconds.iter().enumerate() {
+        let row = Row {
+            line: at as u64 + 1,
+            at: second * SECOND,
+            machine: "".into(),
+            cpu: None,
+            memory: None,
+            what: What::Machine { event: MachineEvent::Added },
+        };
+        order.take(row, &mut out);
+    }
+    order.end(&mut out);
+    assert_eq!(out.len(), seconds.len(), "each row has a verdict");
+    let (mut went, mut others) = (Vec::new(), Vec::new());
+    for verdict in out {
+        match verdict {
+            Verdict::Taken(row) => went.push(row.at / SECOND),
+            Verdict::Rejected(rejected) => others.push((rejected.line, rejected.reason.code())),
+        }
+    }
+    assert!(went.is_sorted(), "{went:?}");
+    (went, others, order.steps().len())
+}
+
+#[rstest]
+#[case::late_within_the_window(&[10, 12, 8, 14, 30], &[8, 10, 12, 14, 30], &[])]
+#[case::too_late(&[10, 30, 12, 31, 32], &[10, 30, 31, 32], &[(3, "too-late")])]
+#[case::one_far_ahead(&[10, 9999, 11, 12], &[10, 11, 12], &[(2, "stray")])]
+#[case::one_of_each(&[100, 20, 9999, 101], &[100, 101], &[(2, "too-late"), (3, "stray")])]
+#[case::held_at_the_end(&[100, 20], &[100], &[(2, "too-late")])]
+#[case::a_gap(&[10, 9000, 9001, 9002, 9003, 9004], &[10, 9000, 9001, 9002, 9003, 9004], &[])]
+fn orders(#[case] seconds: &[u64], #[case] went: &[u64], #[case] others: &[(u64, &str)]) {
+    let (out, rejected, steps) = ordered(seconds);
+    assert_eq!((&out[..], &rejected[..], steps), (went, others, 0));
+}
+
+/// A clock that was set back by a minute: time goes on where it was, with the same distances, and nothing is lost.
+#[rstest]
+fn goes_on_where_a_clock_stepped_back() {
+    let (out, rejected, steps) = ordered(&[100, 101, 102, 40, 41, 42, 43, 44, 45]);
+    assert_eq!(
+        (&out[..], &rejected[..], steps),
+        (&[100, 101, 102, 102, 103, 104, 105, 106, 107][..], &[][..], 1)
+    );
+}
+
+/// Thousands in one microsecond stay in the order of their lines, and the window stays bounded.
+#[rstest]
+fn takes_thousands_in_one_moment() {
+    let (out, rejected, _) = ordered(&vec![7; 5000]);
+    assert_eq!((out.len(), rejected.len()), (5000, 0));
+}
+
+// ---- ledger
+
+fn enter(policy: Policy, machines_told: bool, name: &str, text: &str) -> (Ledger, Option<Stop>) {
+    let mut ledger = Ledger::new(policy, machines_told);
+    for verdict in read(name, text.as_bytes()) {
+        if let Err(stop) = ledger.enter(verdict) {
+            return (ledger, Some(stop));
+        }
+    }
+    (ledger, None)
+}
+
+#[rstest]
+fn tells_duplicates_and_machines_never_added() {
+    let text = "0,5,0,p,0.5,0.2\n0,5,0,p,0.5,0.2\n9,5,1,p,0.5,0.2\n10,6,1,p,0.5,0.2\n11,5,0,p,0.5,0.2\n";
+    let (ledger, stop) = enter(Policy::SkipAndCount, true, MACHINE, text);
+    let counts: Vec<_> = ledger.rejected.iter().map(|(reason, seen)| (reason.code(), seen.count)).collect();
+    assert_eq!((counts, ledger.taken, stop), (vec![("duplicate", 1), ("unknown-machine", 1)], 3, None));
+    // Where no machines are told of, none can be unknown.
+    assert_eq!(enter(Policy::SkipAndCount, false, MACHINE, "10,6,1,p,0.5,0.2\n").0.taken, 1);
+}
+
+#[rstest]
+fn keeps_its_policy() {
+    let good: String = (0..2000).map(|no| sound(TASK).replace("3418309", &no.to_string()) + "\n").collect();
+    let (_, stop) = enter(Policy::StopAtFirst, false, TASK, &format!("{good}\n{good}"));
+    assert!(matches!(stop, Some(Stop::First(rejected)) if rejected.line == 2001));
+    let bad = "x\n".repeat(150);
+    let (ledger, stop) = enter(Policy::StopPast(0.1), false, TASK, &format!("{bad}{good}"));
+    assert_eq!((stop, ledger.lines), (Some(Stop::Share { rejected: 150, lines: 1000 }), 1000));
+    let (ledger, stop) = enter(Policy::StopPast(0.2), false, TASK, &format!("{bad}{good}"));
+    assert_eq!((stop, ledger.taken, ledger.rejected_count()), (None, 2000, 150));
+}
+
+/// The same sequences in every run, unless PROPTEST_RNG_SEED names others; a failure prints what it failed with.
+fn seed() -> proptest::test_runner::RngSeed {
+    let told = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|seed| seed.parse().ok());
+    proptest::test_runner::RngSeed::Fixed(told.unwrap_or(1))
+}
+
+/// A line: sound, cut, with bytes put in, or noise; none holds a line's end.
+fn line() -> impl Strategy<Value = Vec<u8>> {
+    let names = prop_oneof![Just(TASK), Just(MACHINE), Just(BATCH), Just(VM)];
+    prop_oneof![
+        4 => names.clone().prop_map(|name| sound(name).as_bytes().to_vec()),
+        2 => (names.clone(), any::<prop::sample::Index>()).prop_map(|(name, at)| {
+            let text = sound(name).as_bytes();
+            text[..at.index(text.len())].to_vec()
+        }),
+        3 => (names, any::<prop::sample::Index>(), proptest::collection::vec(any::<u8>(), 0..6)).prop_map(|(name, at, more)| {
+            let mut text = sound(name).as_bytes().to_vec();
+            let at = at.index(text.len());
+            text.splice(at..at, more);
+            text
+        }),
+        2 => proptest::collection::vec(any::<u8>(), 0..80),
+        1 => (0..200_000_usize).prop_map(|length| vec![b'9'; length]),
+    ]
+    .prop_map(|mut line| {
+        line.retain(|byte| *byte != b'\n' && *byte != b'\r');
+        line
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: seed(), ..ProptestConfig::default() })]
+
+    /// Whatever stands in a file: no panic, and each line has one verdict, also past the window and the ledger.
+    #[test]
+    fn accounts_for_every_line(lines in proptest::collection::vec(line(), 0..20), which in 0..LAYOUTS.len()) {
+        let text: Vec<u8> = lines.iter().flat_map(|line| [&line[..], b"\n"].concat()).collect();
+        let (mut order, mut ledger) = (Order::new(Window::default()), Ledger::new(Policy::SkipAndCount, true));
+        let (mut out, mut numbers) = (Vec::new(), Vec::new());
+        for verdict in Reader::new(&LAYOUTS[which], &text[..]).unwrap() {
+            match verdict {
+                Verdict::Taken(row) => {
+                    numbers.push(row.line);
+                    order.take(row, &mut out);
+                }
+                Verdict::Rejected(rejected) => {
+                    numbers.push(rejected.line);
+                    out.push(Verdict::Rejected(rejected));
+                }
+            }
+        }
+        order.end(&mut out);
+        prop_assert_eq!(numbers, (1..=lines.len() as u64).collect::<Vec<_>>());
+        out.into_iter().for_each(|verdict| _ = ledger.enter(verdict));
+        prop_assert_eq!(ledger.lines, lines.len() as u64);
+        prop_assert_eq!(ledger.taken + ledger.rejected_count(), ledger.lines);
+    }
+}
