--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod lean;
 mod reading;
+mod rehearse;
 mod traces;
 mod versions;
 
@@ -66,6 +67,8 @@
     },
     /// Print what brokers and hosts would feel of a window of these files, and the plan's digest.
     Plan(traces::Planned),
+    /// Play the plan in virtual time: the module, or a baseline, among model hosts. Its figures are simulated.
+    Run(traces::Played),
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -90,6 +93,7 @@
             return traces::check(&files, layout.as_deref(), tolerate, json);
         }
         Command::Trace { command: TraceCommand::Plan(planned) } => return traces::plan(&planned),
+        Command::Trace { command: TraceCommand::Run(played) } => return traces::run(&played),
         Command::Measure { what, size, seed, program, against } => (what, size, seed, program, against),
     };
     let (brokers, rows) = match size {
--- /dev/null
+++ b/crates/lab/src/rehearse/tests.rs
@@ -0,0 +1,87 @@
+use super::*;
+use rstest::rstest;
+use trace::plan::{Cast as Role, Entry};
+
+fn staging() -> Staging {
+    let role =
+        |name: &str, parts| Role { name: name.to_owned(), share: 1.0, parts, skew: 1.0, cut_off: 5000 };
+    Staging {
+        seed: 1,
+        from: 0,
+        to: 12_000_000,
+        stretch: 1.0,
+        sample: 1.0,
+        load: 0.5,
+        hosts: 8,
+        host_ms_per_s: 4000.0,
+        shards: 16,
+        categories: vec![role("report", (4, 8)), role("lookup", (1, 2))],
+        callers: vec![1.0],
+        drains: 0.0,
+        drain_for: 20_000,
+        most: 1_000_000,
+    }
+}
+
+fn cast(mind: Mind) -> Cast {
+    Cast { brokers: 3, mind, seed: 5, cells: 4, cores: 4 }
+}
+
+/// Twelve seconds of retrievals, four parts of 20 ms each, so many a second; and these events of hosts.
+fn plan(a_second: u64, hosts: &[(u64, u32, HostEvent)]) -> Plan {
+    let mut entries: Vec<Entry> =
+        (0..8).map(|host| Entry { at: 0, what: Happens::Host { host, event: HostEvent::Warm } }).collect();
+    for (at, host, event) in hosts {
+        entries.push(Entry { at: *at, what: Happens::Host { host: *host, event: *event } });
+    }
+    for no in 0..12 * a_second {
+        let parts = (0..4).map(|at| ((no as u32 * 5 + at) % 16, 0.25, 20_000)).collect();
+        let what = Happens::Ask { category: (no % 2) as usize, caller: 0, parts };
+        entries.push(Entry { at: 10_000 + no * 10_000 / a_second, what });
+    }
+    entries.sort_by_key(|entry| entry.at);
+    Plan { entries, jobs_out: 0, machines_out: 0, running: 0, ms_per_unit: 1.0 }
+}
+
+fn play(mind: Mind, a_second: u64, hosts: &[(u64, u32, HostEvent)]) -> Outcome {
+    World::new(plan(a_second, hosts), &staging(), cast(mind)).play()
+}
+
+#[rstest]
+fn the_same_plan_has_the_same_decisions() {
+    let (one, other) = (play(Mind::Module, 100, &[]), play(Mind::Module, 100, &[]));
+    assert_eq!(one.json(), other.json());
+}
+
+/// Within what the hosts can do all is served, and no rule is broken.
+#[rstest]
+fn serves_all_in_quiet_times() {
+    let outcome = play(Mind::Module, 100, &[]);
+    assert!(outcome.service.share() > 0.99 && outcome.broken.is_empty(), "{}", outcome.json());
+    assert_eq!(outcome.answered, 1200);
+}
+
+/// Half of the hosts lost in one instant, and back cold: no rule is broken; a drain likewise.
+#[rstest]
+fn keeps_the_rules_when_half_is_lost() {
+    let lost = [0, 2, 4, 6];
+    let mut events: Vec<_> = lost.iter().map(|host| (40_000, *host, HostEvent::Death)).collect();
+    events.extend(lost.iter().map(|host| (70_000, *host, HostEvent::Start)));
+    events.extend([(90_000, 1, HostEvent::Drain), (110_000, 1, HostEvent::Death)]);
+    let outcome = play(Mind::Module, 100, &events);
+    assert!(outcome.broken.is_empty(), "{}", outcome.json());
+    assert!(outcome.service.share() > 0.5, "{}", outcome.json());
+}
+
+/// More than the hosts can bear: what is given up is given up at once, and more is served than by chance.
+#[rstest]
+fn declines_at_once_under_too_much() {
+    let (module, random) = (play(Mind::Module, 600, &[]), play(Mind::Random, 600, &[]));
+    assert!(module.broken.is_empty(), "{}", module.json());
+    assert!(
+        module.declined > 0 && module.service.share() > random.service.share(),
+        "{} {}",
+        module.json(),
+        random.json()
+    );
+}
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -1,6 +1,7 @@
 //! `trace check`: reads trace files, and says what of them can be used. `trace plan`: what they become. Exit codes: 0 every row, 1 some were rejected
 //! or the policy ended it, 2 a mistake in the words or a file that can't be begun.
 
+use crate::rehearse::{self, Mind, World};
 use clap::Args;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -159,6 +160,73 @@
     }
 }
 
+/// A plan, and who plays it.
+#[derive(Args)]
+pub struct Played {
+    #[command(flatten)]
+    planned: Planned,
+    #[arg(long, default_value_t = 3)]
+    brokers: u32,
+    /// Cells of hosts; each shard is held by two.
+    #[arg(long, default_value_t = 6)]
+    cells: u32,
+    /// Cores of a host.
+    #[arg(long, default_value_t = 4)]
+    cores: usize,
+    /// Who decides: the module, or each part at random.
+    #[arg(long, default_value = "module")]
+    mind: Mind,
+    /// One JSON object for scripts.
+    #[arg(long)]
+    json: bool,
+}
+
+pub fn run(played: &Played) -> ExitCode {
+    let Played { planned, brokers, cells, cores, mind, json } = played;
+    let (brokers, cells) = ((*brokers).max(1), (*cells).clamp(1, planned.hosts.max(1)));
+    let (plan, rejected) = match make_plan(planned) {
+        Ok(made) => made,
+        Err((why, code)) => {
+            eprintln!("barleydrum-lab: {why}");
+            return ExitCode::from(code);
+        }
+    };
+    let (plan_digest, seed) = (plan.digest(), planned.seed);
+    let cast = rehearse::Cast { brokers, mind: *mind, seed, cells, cores: (*cores).max(1) };
+    let outcome = World::new(plan, &planned.staging(), cast).play();
+    let mut told = outcome.json();
+    (told["plan"], told["rejected_rows"], told["simulated"]) =
+        (json!(plan_digest), json!(rejected), json!(true));
+    if *json {
+        println!("{told}");
+    } else {
+        println!("simulated: {brokers} brokers, {} hosts in {cells} cells, seed {seed}", planned.hosts);
+        println!(
+            "service            {:.4} (payoff answered within the goal time over payoff asked for)",
+            outcome.service.share()
+        );
+        println!("worst 10 s         {:.4}", outcome.worst_window());
+        for key in [
+            "by_category",
+            "retrievals",
+            "answered",
+            "declined",
+            "scrapped",
+            "pushes",
+            "latency_ms",
+            "plan",
+            "digest",
+        ] {
+            println!("{key:<18} {}", told[key]);
+        }
+        for (rule, times) in &outcome.broken {
+            println!("RULE BROKEN        {rule} ({times} times)");
+        }
+    }
+    // The module must keep the rules; a baseline is what it is.
+    if outcome.broken.is_empty() || *mind == Mind::Random { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
 pub fn plan(planned: &Planned) -> ExitCode {
     match make_plan(planned) {
         Ok((plan, rejected)) => {
