A stand-in ledger host on a loopback socket, with the model behind; two private ones are gone

Cause: three places answered frames by hand, each a little different. Change: ledger_host::net: calls, withdrawals and probes as in the protocol, queue and load reports by the model, drain, death and return under one address, and a note of all that came. The tests with processes and measure lean use it.

--- a/crates/broker/tests/control/main.rs
+++ b/crates/broker/tests/control/main.rs
@@ -37,7 +37,8 @@
         delay: Duration::from_millis(30),
     };
     let service = StandIn::start(ANY_PORT, troubles).unwrap();
-    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let node = host.address;
     let start = |name| {
         let services = vec![service.address];
         Broker::start(&Start { folder: folder.path(), name, node, services, control: QUICK })
@@ -115,7 +116,8 @@
 #[rstest]
 fn withdraws_a_version_that_makes_answers_fail() {
     let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
-    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let node = host.address;
     let control = "trial_ms = 300\nlongest_trial_ms = 60000\ncount_every_ms = 20\nmargin = 0.1";
     let services = vec![service.address];
     let mut broker = Broker::start(&Start { folder: folder.path(), name: "n0", node, services, control });
@@ -163,7 +165,8 @@
 #[rstest]
 fn goes_on_with_the_last_good_version() {
     let mut service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
-    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let node = host.address;
     let kept = folder.path().join("kept");
     let control = format!("{QUICK}\nkeep_file = {}", kept.display());
     let start = |service: &StandIn| {
@@ -201,7 +204,8 @@
 #[rstest]
 fn goes_on_with_a_trial_and_remembers_what_it_withdrew() {
     let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
-    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let node = host.address;
     let kept = folder.path().join("kept");
     let control = format!(
         "trial_ms = 300\nlongest_trial_ms = 60000\ncount_every_ms = 20\nmargin = 0.1\nkeep_file = {}",
@@ -245,7 +249,8 @@
 #[case(br#"{"PeriodMs": 1}"#.to_vec(), "`Services` is missing")]
 fn turns_down_what_is_no_document(#[case] text: Vec<u8>, #[case] told: &str) {
     let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
-    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let node = host.address;
     let services = vec![service.address];
     let broker = Broker::start(&Start { folder: folder.path(), name: "n0", node, services, control: QUICK });
     service.publish(1, INSTALLATION, &text);
@@ -262,7 +267,8 @@
 #[rstest]
 fn strikes_a_category_with_retrievals_open() {
     let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
-    let (folder, node) = (tempfile::tempdir().unwrap(), node());
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let node = host.address;
     let services = vec![service.address];
     let broker = Broker::start(&Start { folder: folder.path(), name: "n0", node, services, control: QUICK });
     let mut first = document(1);
--- a/crates/broker/tests/control/party.rs
+++ b/crates/broker/tests/control/party.rs
@@ -2,10 +2,12 @@
 //! apart from outside.
 
 use control_client::csds::{Told, ask};
+use ledger_host::Build;
+use ledger_host::net::Served;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc;
@@ -22,37 +24,9 @@
     }
 }
 
-/// A node of cell 0 that answers every part at once; returns its address.
-pub fn node() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || _ = answer_all(stream));
-        }
-    });
-    address
-}
-
-fn answer_all(mut stream: TcpStream) -> std::io::Result<()> {
-    let mut reader = BufReader::new(stream.try_clone()?);
-    loop {
-        let mut length = [0; 4];
-        reader.read_exact(&mut length)?;
-        let mut frame = vec![0; u32::from_le_bytes(length) as usize];
-        reader.read_exact(&mut frame)?;
-        let mut rest = &frame[1..];
-        while frame[0] == b'1' && !rest.is_empty() {
-            let mut line = String::new();
-            rest.read_line(&mut line)?;
-            let fields: Vec<&str> = line.trim().split(' ').collect();
-            let text: usize = fields[3].parse().unwrap();
-            rest = &rest[text..];
-            let answer = format!("5{} S 1 -\nv", fields[0]);
-            stream.write_all(&(answer.len() as u32).to_le_bytes())?;
-            stream.write_all(answer.as_bytes())?;
-        }
-    }
+/// A host of cell 0 that answers every part within a tenth of a millisecond.
+pub fn node() -> Served {
+    Served::start(Build::default(), |_, _| 100).unwrap()
 }
 
 /// Version `number`: its shards and its time to stay away tell it from every other. Even shards lie in cell 0, odd
--- a/crates/lab/src/lean.rs
+++ b/crates/lab/src/lean.rs
@@ -1,9 +1,11 @@
 //! `measure lean`: what the platform's program costs, beside an earlier build of it, in turn, on loopback sockets.
 //! Nothing is switched on: a feature that is off must cost nothing.
 
+use ledger_host::Build;
+use ledger_host::net::Served;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -57,13 +59,9 @@
 
 /// A broker with a node that answers at once, and one client; what it used for its retrievals.
 fn play(program: &Path) -> Result<Cost, String> {
-    let node = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-    let address = node.local_addr().map_err(|e| e.to_string())?;
-    std::thread::spawn(move || {
-        for stream in node.incoming().flatten() {
-            std::thread::spawn(move || _ = answer_all(stream));
-        }
-    });
+    // A tenth of a millisecond for a part, with cores for all that one client has out.
+    let node = Served::start(Build::default(), |_, _| 100).map_err(|e| e.to_string())?;
+    let address = node.address;
     let folder = std::env::temp_dir().join(format!("barleydrum-lab-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
     let config: PathBuf = folder.join("config.json");
@@ -188,25 +186,3 @@
     client.read_exact(&mut vec![0; length])?;
     if first.contains(" 200 ") { Ok(()) } else { Err(std::io::Error::other(format!("answered {first}"))) }
 }
-
-fn answer_all(mut stream: TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let mut reader = BufReader::new(stream.try_clone()?);
-    loop {
-        let mut length = [0; 4];
-        reader.read_exact(&mut length)?;
-        let mut frame = vec![0; u32::from_le_bytes(length) as usize];
-        reader.read_exact(&mut frame)?;
-        let mut rest = frame.get(1..).unwrap_or_default();
-        while frame.first() == Some(&b'1') && !rest.is_empty() {
-            let mut line = String::new();
-            rest.read_line(&mut line)?;
-            let fields: Vec<&str> = line.trim().split(' ').collect();
-            let text: usize = fields.get(3).and_then(|text| text.parse().ok()).unwrap_or(0);
-            rest = rest.get(text..).unwrap_or_default();
-            let answer = format!("5{} S 1 -\nv", fields.first().unwrap_or(&""));
-            stream.write_all(&(answer.len() as u32).to_le_bytes())?;
-            stream.write_all(answer.as_bytes())?;
-        }
-    }
-}
--- a/crates/ledger-host/src/lib.rs
+++ b/crates/ledger-host/src/lib.rs
@@ -1,6 +1,6 @@
 //! A stand-in ledger host, as a model: cores, a bounded queue, service times, load reports, a cold start with its
 //! warm-up, drain, death, slowness. It has no clock, no sockets and no chance: whoever drives it tells the time, and
-//! asks when something is due.
+//! asks when something is due. [`net`] drives it on a loopback socket, by frames as in the protocol.
 //!
 //! ```
 //! use barleydrum::Tenths;
@@ -12,6 +12,8 @@
 //! assert_eq!(host.end(Tenths(20)), Some(JobNo(1)));
 //! ```
 
+pub mod net;
+
 use State::{Dead, Draining, Ready};
 use barleydrum::Tenths;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -66,7 +68,7 @@
     Refused,
     /// There is no process.
     Unreachable,
-    /// By this one it fell over, with all that it had.
+    /// By this one it falls over: whoever drives it lets it die now.
     FellOver,
 }
 
