--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -66,6 +66,7 @@
         ("task_events", "google-2011-task-events"),
         ("machine_events", "google-2011-machine-events"),
         ("batch_task", "alibaba-2018-batch-task"),
+        ("batch_instance", "alibaba-2018-batch-instance"),
         ("machine_meta", "alibaba-2018-machine-meta"),
         ("vmtable", "azure-2017-vmtable"),
     ];
--- a/crates/trace/tests/readers.rs
+++ b/crates/trace/tests/readers.rs
@@ -10,6 +10,7 @@
 const TASK: &str = "google-2011-task-events";
 const MACHINE: &str = "google-2011-machine-events";
 const BATCH: &str = "alibaba-2018-batch-task";
+const INSTANCE: &str = "alibaba-2018-batch-instance";
 const VM: &str = "azure-2017-vmtable";
 
 /// A sound row of each layout.
@@ -18,6 +19,7 @@
         TASK => "600000000,,3418309,0,4155527081,0,fadkjh=,3,9,0.125,0.07446,0.0004244,0",
         MACHINE => "0,5,0,HofLGzk1Or/8Ildj2+Lqv0UGGvY82NLoni8+J/Yy0RU=,0.5,0.2493",
         BATCH => "task_Nzg3ODAwNDgzMTAwNTc2NTQ2,2,j_3,12,Terminated,157213,157295,100.00,0.29",
+        INSTANCE => "ins_1,M1,j_3,1,Terminated,157213,157295,m_23,1,1,43,115,0.05,0.05",
         VM => "vm+1,sub/1,dep=1,0,2591700,99.3,3.42,10.19,Interactive,2,4",
         other => panic!("{other}"),
     }
@@ -38,6 +40,7 @@
 #[rstest]
 #[case(TASK, 600_000_000, "3418309", "0")]
 #[case(BATCH, 157_213_000_000, "j_3", "task_Nzg3ODAwNDgzMTAwNTc2NTQ2")]
+#[case(INSTANCE, 157_213_000_000, "j_3", "ins_1")]
 #[case(VM, 0, "dep=1", "vm+1")]
 fn takes_work(#[case] name: &str, #[case] at: u64, #[case] job: &str, #[case] task: &str) {
     let verdicts = read(name, sound(name).as_bytes());
@@ -281,3 +284,46 @@
         prop_assert_eq!(ledger.taken + ledger.rejected_count(), ledger.lines);
     }
 }
+
+/// Judged ahead on other threads, over many blocks, each line has the verdict that it has on one; a taker that stops
+/// midway leaves nothing behind that waits for ever, and one that is slow loses nothing.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn ahead_is_the_same(#[case] packed: bool) {
+    let mut text = Vec::new();
+    for no in 0..20_000_u64 {
+        let row = match no % 97 {
+            3 => "\n".to_owned(),
+            5 => format!("{no},\"open,3\n"),
+            7 => format!("{no},5,9,x,0.5,0.25\n"),
+            11 => format!("{},{}\n", "7".repeat(LONGEST_LINE), no),
+            _ => format!("{no},{},0,x,0.5,0.25\n", no % 50),
+        };
+        text.extend(row.bytes());
+    }
+    text.extend(b"20000,5,0");
+    if packed {
+        let mut to = GzEncoder::new(Vec::new(), Compression::fast());
+        to.write_all(&text).unwrap();
+        text = to.finish().unwrap();
+        text.truncate(text.len() - 9);
+    }
+    let file = std::env::temp_dir().join(format!("barleydrum-trace-{}-{packed}.csv", std::process::id()));
+    std::fs::write(&file, &text).unwrap();
+    let open = || Reader::open(layout(MACHINE).unwrap(), &file).unwrap();
+    let ahead: Vec<Verdict> = open().collect();
+    assert!(open().take(5_000).count() == 5_000, "and lets go of the rest");
+    let slow = open().enumerate().map(|(no, verdict)| {
+        if no % 4_000 == 0 {
+            std::thread::sleep(std::time::Duration::from_millis(5));
+        }
+        verdict
+    });
+    assert!(slow.eq(read(MACHINE, &text)), "slowly taken");
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(reasons(&ahead), reasons(&read(MACHINE, &text)));
+    assert_eq!(ahead, read(MACHINE, &text));
+    assert_eq!(reasons(&ahead).last(), Some(&"ends-midway"));
+    assert!(ahead.len() > 19_000);
+}
