--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -14,6 +14,7 @@
 use intake::Intake;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot};
@@ -173,12 +174,13 @@
 }
 
 impl Desk {
-    pub fn new(intake: Intake, seed: u64, limits: Rc<Limits>) -> Rc<Desk> {
+    /// `since`: the Unix time of this moment, where it is not the machine's that counts.
+    pub fn new(intake: Intake, seed: u64, limits: Rc<Limits>, since: Option<Tenths>) -> Rc<Desk> {
         let edition = Rc::new(Edition::new(&intake));
         let Intake { prescription, zones, .. } = intake;
         // The roll tells starts in Unix time, so the clock counts from there, and only ever forward.
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let now = Tenths((unix.as_micros() / 100) as i64);
+        let now = since.unwrap_or(Tenths((unix.as_micros() / 100) as i64));
         Rc::new(Desk {
             nodes: Nodes::new(limits.clone()),
             limits,
@@ -225,6 +227,16 @@
         self.book.borrow().retrievals.len()
     }
 
+    /// Pushes that are out: the node's address and the id that the wire knows the part by, in order. Who rehearses
+    /// a day holds them against what the nodes have, to tell whether anything is under way.
+    pub fn pushes_out(&self) -> Vec<(SocketAddr, Bytes)> {
+        self.nodes.out()
+    }
+
+    pub fn count_out(&self) -> usize {
+        self.nodes.count_out()
+    }
+
     /// The edition under which retrievals are taken now.
     pub fn edition(&self) -> Rc<Edition> {
         self.edition.borrow().clone()
@@ -620,7 +632,7 @@
             let mut intake = Intake::default();
             intake.prescription.limits.most_open = 10;
             let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
-            let desk = Desk::new(intake, 1, Rc::new(limits));
+            let desk = Desk::new(intake, 1, Rc::new(limits), None);
             let address = "127.0.0.1:9".parse().unwrap();
             desk.nodes.listens(NodeId(1), Some(address), true);
             let parts = vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }];
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -110,6 +110,18 @@
         }
     }
 
+    /// What is out, or on its way there: the node's address and the id on the wire, in order.
+    pub fn out(&self) -> Vec<(SocketAddr, Bytes)> {
+        let pushes = self.pushes.borrow();
+        let mut out: Vec<_> = pushes.values().map(|(line, id)| (line.address, id.clone())).collect();
+        out.sort();
+        out
+    }
+
+    pub fn count_out(&self) -> usize {
+        self.pushes.borrow().len()
+    }
+
     /// Ends since the last time, in the order in which they came.
     pub fn fetch_ended(&self) -> Vec<Ended> {
         self.ended.take()
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -2,6 +2,7 @@
 
 use crate::limits::{Limits, Machine};
 use crate::listing::Listing;
+use barleydrum::Tenths;
 use intake::Intake;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -20,6 +21,8 @@
     /// The nodes as this broker last had them.
     pub known: Option<Listing>,
     pub limits: Limits,
+    /// The Unix time at which its clock starts; none: the machine's. For days that are rehearsed.
+    pub since: Option<Tenths>,
 }
 
 /// Where a broker's own file is: named on the command line, or by the environment.
@@ -102,6 +105,7 @@
             settings: file.settings.get().to_owned(),
             known: file.known,
             limits,
+            since: None,
         })
     }
 }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -315,10 +315,10 @@
         let mut new = Discovery::start().await;
         let file = std::env::temp_dir().join(format!("barleydrum-{}.json", std::process::id()));
         let write = |text: String| std::fs::write(&file, text).unwrap();
-        let told = config(&old.nodes, &old.discovery.address.to_string());
+        let told = config(&old.nodes, &old.discovery.address().to_string());
         write(told.to_string());
         old.discovery.called().await;
-        let program = Program::start(&file, &old.discovery.address.to_string());
+        let program = Program::start(&file, &old.discovery.address().to_string());
         assert_eq!(old.discovery.called().await, "/catalog/members");
         for _ in 0..2 {
             old.discovery.reply(json!({"revision": 41, "complete": true, "members": []}));
@@ -329,7 +329,7 @@
             program.signal("HUP");
             program.says("the new config is not used");
         }
-        write(config(&old.nodes, &new.address.to_string()).to_string());
+        write(config(&old.nodes, &new.address().to_string()).to_string());
         program.signal("HUP");
         assert_eq!(new.called().await, "/catalog/members");
         new.reply(json!({"revision": 3, "complete": true, "members": [member(&old.nodes, 1, "ready")]}));
--- a/crates/broker/tests/sockets/stand_ins.rs
+++ b/crates/broker/tests/sockets/stand_ins.rs
@@ -1,17 +1,14 @@
-//! Stand-ins on loopback for all that the broker talks with: nodes, discovery, clients.
+//! A broker among the scripted peers of `ledger_host::script`, as the tests want it.
 
 use broker::{Order, Running};
+use ledger_host::script;
+pub use ledger_host::script::{Heard, Node, Part, Reply, framed, request};
 use serde_json::{Value, json};
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::tcp::OwnedWriteHalf;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::mpsc;
 
 /// Plays a test on a runtime like the program's.
 pub fn play(test: impl Future<Output = ()>) {
@@ -27,154 +24,6 @@
     tokio::time::sleep(Duration::from_millis(ms)).await;
 }
 
-#[derive(Clone, Debug, PartialEq)]
-pub struct Part {
-    pub id: String,
-    pub shard: u32,
-    pub list: String,
-    pub text: String,
-}
-
-/// What a node hears on one of its connections.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Heard {
-    Call(Vec<Part>),
-    GiveUp(String),
-    Closed,
-}
-
-/// A node that does what a test says.
-pub struct Node {
-    pub address: SocketAddr,
-    lines: Rc<RefCell<Vec<Option<OwnedWriteHalf>>>>,
-}
-
-type Tell = mpsc::UnboundedSender<(usize, usize, Heard)>;
-
-impl Node {
-    async fn start(at: usize, tell: Tell) -> Node {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let lines = Rc::new(RefCell::new(Vec::new()));
-        let kept = lines.clone();
-        actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (mut reading, writing) = stream.into_split();
-                let line = kept.borrow().len();
-                kept.borrow_mut().push(Some(writing));
-                let tell = tell.clone();
-                actix_rt::spawn(async move {
-                    while let Some(heard) = hear(&mut reading).await {
-                        let _ = tell.send((at, line, heard));
-                    }
-                    let _ = tell.send((at, line, Heard::Closed));
-                });
-            }
-        });
-        Node { address, lines }
-    }
-
-    /// Writes bytes as they are.
-    pub async fn write(&self, line: usize, bytes: &[u8]) {
-        let mut writing = self.lines.borrow_mut()[line].take().unwrap();
-        writing.write_all(bytes).await.unwrap();
-        self.lines.borrow_mut()[line] = Some(writing);
-    }
-
-    /// Ends a part, as `S`, `E` or `B`.
-    pub async fn end(&self, line: usize, id: &str, end: char, value: &str) {
-        let rest = format!("5{id} {end} 77 queue=3,qps=1.5\n{value}");
-        self.write(line, &framed(rest.as_bytes(), 0)).await;
-    }
-
-    pub fn close(&self, line: usize) {
-        self.lines.borrow_mut()[line] = None;
-    }
-}
-
-/// A frame whose length is told as so many bytes more than there are.
-pub fn framed(rest: &[u8], more: i32) -> Vec<u8> {
-    [&(rest.len() as i32 + more).to_le_bytes()[..], rest].concat()
-}
-
-async fn hear(from: &mut (impl AsyncReadExt + Unpin)) -> Option<Heard> {
-    let mut frame = vec![0; from.read_u32_le().await.ok()? as usize];
-    from.read_exact(&mut frame).await.ok()?;
-    let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).unwrap();
-    if frame[0] == b'2' {
-        return Some(Heard::GiveUp(text(&frame[1..])));
-    }
-    assert_eq!(frame[0], b'1');
-    let (mut rest, mut parts) = (&frame[1..], Vec::new());
-    while !rest.is_empty() {
-        let end = rest.iter().position(|byte| *byte == b'\n').unwrap();
-        let line = text(&rest[..end]);
-        let [id, shard, list, length] = line.split(' ').collect::<Vec<_>>()[..] else { panic!("{line}") };
-        let (value, after) = rest[end + 1..].split_at(length.parse().unwrap());
-        let (id, shard, list) = (id.to_owned(), shard.parse().unwrap(), list.to_owned());
-        parts.push(Part { id, shard, list, text: text(value) });
-        rest = after;
-    }
-    Some(Heard::Call(parts))
-}
-
-/// Discovery, which answers each call with the next reply that a test gives it, or stays silent.
-pub struct Discovery {
-    pub address: SocketAddr,
-    calls: mpsc::UnboundedReceiver<String>,
-    replies: Rc<RefCell<VecDeque<String>>>,
-    more: Rc<Notify>,
-}
-
-impl Discovery {
-    pub async fn start() -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (tell, calls) = mpsc::unbounded_channel();
-        let replies: Rc<RefCell<VecDeque<String>>> = Rc::default();
-        let more = Rc::new(Notify::new());
-        let (queue, bell) = (replies.clone(), more.clone());
-        actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let (tell, queue, bell) = (tell.clone(), queue.clone(), bell.clone());
-                actix_rt::spawn(async move {
-                    let mut stream = BufReader::new(stream);
-                    loop {
-                        let mut head = String::new();
-                        while !head.ends_with("\r\n\r\n") {
-                            if stream.read_line(&mut head).await.unwrap_or(0) == 0 {
-                                return;
-                            }
-                        }
-                        let _ = tell.send(head.split(' ').nth(1).unwrap().to_owned());
-                        let body = loop {
-                            let next = queue.borrow_mut().pop_front();
-                            match next {
-                                Some(body) => break body,
-                                None => bell.notified().await,
-                            }
-                        };
-                        let reply =
-                            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-                        stream.write_all(reply.as_bytes()).await.unwrap();
-                    }
-                });
-            }
-        });
-        Discovery { address, calls, replies, more }
-    }
-
-    pub fn reply(&self, body: impl ToString) {
-        self.replies.borrow_mut().push_back(body.to_string());
-        self.more.notify_one();
-    }
-
-    /// The path of the next call.
-    pub async fn called(&mut self) -> String {
-        soon(self.calls.recv()).await.unwrap()
-    }
-}
-
 /// A broker with its stand-ins. Every node holds every shard.
 pub struct Stage {
     pub broker: Running,
@@ -224,10 +73,10 @@
         let (tell, heard) = mpsc::unbounded_channel();
         let mut all = Vec::new();
         for at in 0..nodes {
-            all.push(Node::start(at, tell.clone()).await);
+            all.push(Node::start(at, tell.clone()).await.unwrap());
         }
         let discovery = Discovery::start().await;
-        let mut text = self::config(&all, &discovery.address.to_string());
+        let mut text = self::config(&all, &discovery.address().to_string());
         config(&mut text);
         let mut read = Order::read(text.to_string().as_bytes(), |_| None).unwrap();
         order(&mut read);
@@ -313,54 +162,45 @@
 }
 
 pub fn body(slices: &[(u32, f64)]) -> String {
-    let slices: Vec<Value> =
-        slices.iter().map(|(slice, mass)| json!({"slice": slice, "mass": mass})).collect();
-    json!({"slices": slices, "filter": "c41e77d0"}).to_string()
-}
-
-pub fn request(id: &str, category: &str, left_ms: u64, body: &str) -> String {
-    format!(
-        "POST /api HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\n\
-         X-Service-Class: {category}\r\nX-Time-Left-Ms: {left_ms}\r\nContent-Length: {}\r\n\r\n{body}",
-        body.len()
-    )
+    script::body(slices, "c41e77d0")
 }
 
-pub struct Client(BufReader<TcpStream>);
-
-#[derive(Debug)]
-pub struct Reply {
-    pub status: u16,
-    pub head: String,
-    pub body: String,
-}
+/// A client whose trouble is the test's.
+pub struct Client(script::Client);
 
 impl Client {
     pub async fn to(address: SocketAddr) -> Client {
-        Client(BufReader::new(TcpStream::connect(address).await.unwrap()))
+        Client(script::Client::to(address).await.unwrap())
     }
 
     pub async fn write(&mut self, text: &str) {
-        self.0.get_mut().write_all(text.as_bytes()).await.unwrap();
+        self.0.write(text).await.unwrap();
     }
 
     /// The next reply; none: the broker closed the connection.
     pub async fn reply(&mut self) -> Option<Reply> {
-        soon(async {
-            let mut head = String::new();
-            while !head.ends_with("\r\n\r\n") {
-                if self.0.read_line(&mut head).await.unwrap_or(0) == 0 {
-                    return None;
-                }
-            }
-            let head = head.to_lowercase();
-            let length =
-                head.split("content-length: ").nth(1).map_or("0", |rest| rest.lines().next().unwrap());
-            let mut body = vec![0; length.parse().unwrap()];
-            self.0.read_exact(&mut body).await.ok()?;
-            let status = head.split(' ').nth(1).unwrap().parse().unwrap();
-            Some(Reply { status, head, body: String::from_utf8(body).unwrap() })
-        })
-        .await
+        soon(self.0.reply()).await
+    }
+}
+
+/// Discovery that a test waits for.
+pub struct Discovery(script::Discovery);
+
+impl Discovery {
+    pub async fn start() -> Discovery {
+        Discovery(script::Discovery::start().await.unwrap())
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    pub fn reply(&self, body: impl ToString) {
+        self.0.reply(body);
+    }
+
+    /// The path of the next call.
+    pub async fn called(&mut self) -> String {
+        soon(self.0.called()).await.unwrap()
     }
 }
--- /dev/null
+++ b/crates/lab/src/audit.rs
@@ -0,0 +1,324 @@
+//! The six rules, held against what clients and hosts got, never against a broker's word. Decisions only: whoever plays
+//! a day (in virtual time, or on sockets) tells what happened and when.
+//!
+//! | rule | what is looked at |
+//! | --- | --- |
+//! | 1 | final answers as they reach clients, and parts that reach hosts behind them |
+//! | 2 | parts that reach hosts again after one of them may have run; declines of what may have run |
+//! | 3 | parts that reach a host past the grace after its broker was told |
+//! | 4 | cold hosts that fell over |
+//! | 5 | answers against the values that hosts made for them |
+//! | 6 | parts that reach hosts again, in any window, beside what was asked in it |
+
+use barleydrum::{EffectKind, FurtherBudget, Standing, Tenths};
+use std::collections::{BTreeMap, VecDeque};
+
+/// What the rules are for one category.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub cut_off: Tenths,
+    pub least: f64,
+    pub effect: EffectKind,
+    pub repeat_window: Tenths,
+}
+
+/// What is measured against.
+#[derive(Clone, Debug)]
+pub struct Bounds {
+    pub kinds: Vec<Kind>,
+    pub budget: Option<FurtherBudget>,
+    pub grace: Tenths,
+    /// How much later than it was done something may reach who is looked at.
+    pub slack: Tenths,
+}
+
+/// A part, counted up over all that was asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PartNo(pub usize);
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    Answered { whole: bool, held: Vec<PartNo> },
+    Declined,
+    Scrapped,
+}
+
+#[derive(Clone, Debug)]
+struct Part {
+    asked: usize,
+    weight: f64,
+    /// Times that it reached a host.
+    arrivals: u32,
+    /// When a host first took it, so that it may have run.
+    may_have_run: Option<Tenths>,
+    /// When a host first made its value.
+    made: Option<Tenths>,
+}
+
+#[derive(Clone, Debug)]
+struct Asked {
+    broker: usize,
+    kind: usize,
+    at: Tenths,
+    parts: std::ops::Range<usize>,
+    ended: Option<Tenths>,
+}
+
+/// What one broker took and sent again, for as long as a window reaches.
+#[derive(Clone, Debug, Default)]
+struct Books {
+    taken: VecDeque<Tenths>,
+    again: VecDeque<Tenths>,
+}
+
+/// How often a rule was broken in one way, and when first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Break {
+    pub times: u64,
+    pub first: Tenths,
+}
+
+pub struct Audit {
+    bounds: Bounds,
+    parts: Vec<Part>,
+    asked: Vec<Asked>,
+    books: Vec<Books>,
+    broken: BTreeMap<&'static str, Break>,
+}
+
+/// Weights are told with this much rounding in sum.
+const ROUNDING: f64 = 0.0001;
+
+impl Audit {
+    pub fn new(bounds: Bounds, brokers: usize) -> Audit {
+        let books = vec![Books::default(); brokers];
+        Audit { bounds, parts: Vec::new(), asked: Vec::new(), books, broken: BTreeMap::new() }
+    }
+
+    pub fn broken(&self) -> &BTreeMap<&'static str, Break> {
+        &self.broken
+    }
+
+    fn breaks(&mut self, now: Tenths, rule: &'static str) {
+        self.broken.entry(rule).or_insert(Break { times: 0, first: now }).times += 1;
+    }
+
+    /// A retrieval is asked of a broker; its first part's number, the others follow.
+    pub fn asked(&mut self, now: Tenths, broker: usize, kind: usize, weights: &[f64]) -> PartNo {
+        let first = self.parts.len();
+        let no = self.asked.len();
+        let part =
+            |weight: &f64| Part { asked: no, weight: *weight, arrivals: 0, may_have_run: None, made: None };
+        self.parts.extend(weights.iter().map(part));
+        let parts = first..self.parts.len();
+        let taken = 1 + parts.len();
+        self.asked.push(Asked { broker, kind, at: now, parts, ended: None });
+        self.books[broker].taken.extend(std::iter::repeat_n(now, taken));
+        PartNo(first)
+    }
+
+    /// A part reaches a host, of which its broker was last told this, then.
+    pub fn arrived(&mut self, now: Tenths, part: PartNo, told: (Standing, Tenths)) {
+        let (slack, grace) = (self.bounds.slack, self.bounds.grace);
+        let Some(Part { asked, arrivals, may_have_run, .. }) = self.parts.get_mut(part.0) else {
+            return self.breaks(now, "1: a part that nobody asked for");
+        };
+        *arrivals += 1;
+        let (asked, again, ran) = (*asked, *arrivals > 1, *may_have_run);
+        let Asked { broker, kind, ended, .. } = self.asked[asked];
+        let Kind { effect, repeat_window, .. } = self.bounds.kinds[kind];
+        if ended.is_some_and(|ended| now - ended > slack) {
+            self.breaks(now, "1: a part sent after the final answer");
+        }
+        match (effect, ran) {
+            (EffectKind::AtMostOnce, Some(_)) => {
+                self.breaks(now, "2: at-most-once, sent again though it may have run")
+            }
+            (EffectKind::Numbered, Some(first)) if now - first > repeat_window + slack => {
+                self.breaks(now, "2: numbered, sent again outside its window");
+            }
+            _ => {}
+        }
+        if told.0 != Standing::Ready && now - told.1 > grace + slack {
+            self.breaks(now, "3: sent past the grace to a host that drains or is gone");
+        }
+        if again {
+            self.spend(now, broker);
+        }
+    }
+
+    /// Guards against windows that are judged at their ends only: each further push ends one.
+    fn spend(&mut self, now: Tenths, broker: usize) {
+        let Some(FurtherBudget { floor, share, window }) = self.bounds.budget.clone() else { return };
+        let slack = self.bounds.slack;
+        let books = &mut self.books[broker];
+        books.again.push_back(now);
+        while books.again.pop_front_if(|at| *at < now - window).is_some() {}
+        while books.taken.pop_front_if(|at| *at < now - window - slack).is_some() {}
+        let allowed = floor + share * books.taken.len() as f64;
+        if books.again.len() as f64 > allowed {
+            self.breaks(now, "6: more further pushes in a window than the budget allows");
+        }
+    }
+
+    /// The host took it: from now on it may have run.
+    pub fn taken(&mut self, now: Tenths, part: PartNo) {
+        if let Some(part) = self.parts.get_mut(part.0) {
+            part.may_have_run.get_or_insert(now);
+        }
+    }
+
+    /// A host made its value.
+    pub fn made(&mut self, now: Tenths, part: PartNo) {
+        if let Some(part) = self.parts.get_mut(part.0) {
+            part.made.get_or_insert(now);
+        }
+    }
+
+    pub fn fell_over(&mut self, now: Tenths) {
+        self.breaks(now, "4: a cold host fell over");
+    }
+
+    /// A retrieval's end reaches its client; the weight that an answer holds. None: it had one before.
+    pub fn ends(&mut self, now: Tenths, asked: usize, end: &Final) -> Option<f64> {
+        let Some(Asked { kind, at, ended, parts, .. }) = self.asked.get_mut(asked) else {
+            self.breaks(now, "1: an answer to what was not asked");
+            return None;
+        };
+        let (kind, at, parts, again) = (*kind, *at, parts.clone(), ended.is_some());
+        ended.get_or_insert(now);
+        let Kind { cut_off, least, effect, .. } = self.bounds.kinds[kind];
+        if again {
+            self.breaks(now, "1: a second final answer");
+            return None;
+        }
+        if now - at > cut_off + self.bounds.slack {
+            self.breaks(now, "1: a final answer past the client's time");
+        }
+        let may_have_run = self.parts[parts.clone()].iter().any(|part| part.may_have_run.is_some());
+        if effect == EffectKind::AtMostOnce && *end == Final::Declined && may_have_run {
+            self.breaks(now, "2: at-most-once, declined though it may have run");
+        }
+        let Final::Answered { whole, held } = end else { return Some(0.0) };
+        Some(self.answered(now, (parts, least), *whole, held))
+    }
+
+    fn answered(
+        &mut self,
+        now: Tenths,
+        (parts, least): (std::ops::Range<usize>, f64),
+        whole: bool,
+        held: &[PartNo],
+    ) -> f64 {
+        let mut distinct: Vec<PartNo> = held.to_vec();
+        distinct.sort();
+        distinct.dedup();
+        if distinct.len() < held.len() {
+            self.breaks(now, "5: a part counted twice");
+        }
+        let mut sum = 0.0;
+        for part in distinct {
+            match self.parts.get(part.0) {
+                Some(told) if parts.contains(&part.0) && told.made.is_some_and(|made| made <= now) => {
+                    sum += told.weight
+                }
+                _ => self.breaks(now, "5: a part counted that no host made a value for"),
+            }
+        }
+        let all: f64 = self.parts[parts].iter().map(|part| part.weight).sum();
+        let share = if all > 0.0 { sum / all } else { 1.0 };
+        if share + ROUNDING < least {
+            self.breaks(now, "5: an answer under the least share");
+        }
+        if whole && share + ROUNDING < 1.0 {
+            self.breaks(now, "5: an answer called whole that is not");
+        }
+        share.min(1.0)
+    }
+
+    /// The day is over: what has no final answer by now has none.
+    pub fn close(&mut self, now: Tenths) {
+        let lost = self.asked.iter().filter(|asked| asked.ended.is_none()).count();
+        for _ in 0..lost {
+            self.breaks(now, "1: no final answer");
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const READY: (Standing, Tenths) = (Standing::Ready, Tenths(0));
+
+    fn audit() -> Audit {
+        let kind = |effect, least| Kind { cut_off: Tenths(1000), least, effect, repeat_window: Tenths(500) };
+        let kinds = vec![
+            kind(EffectKind::Reissuable, 0.4),
+            kind(EffectKind::Numbered, 1.0),
+            kind(EffectKind::AtMostOnce, 1.0),
+        ];
+        let budget = Some(FurtherBudget { floor: 1.0, share: 0.5, window: Tenths(100) });
+        Audit::new(Bounds { kinds, budget, grace: Tenths(50), slack: Tenths(5) }, 1)
+    }
+
+    /// What happens to one retrieval of two even parts, a step a word: `a0` part 0 arrives, `t0` is taken, `m0` made;
+    /// `d` arrives at a host told to drain; `A01` answered by 0 and 1, whole; `P0` partial; `D` declined, `S` scrapped;
+    /// a number moves the clock. Then the rule that is broken, if any.
+    #[rstest]
+    #[case(0, "a0 t0 m0 a1 t1 m1 A01", "")]
+    #[case(0, "a0 t0 m0 P0 C", "")]
+    #[case(0, "a0 t0 m0 a1 P0 C", "")]
+    #[case(0, "C", "1: no final")]
+    #[case(0, "S D", "1: a second")]
+    #[case(0, "1006 S", "1: a final answer past")]
+    #[case(0, "1005 S", "")]
+    #[case(0, "S 6 a0", "1: a part sent after")]
+    #[case(0, "S 5 a0", "")]
+    #[case(0, "P", "5: an answer under")]
+    #[case(0, "a0 t0 m0 a1 t1 P01", "5: a part counted that no host")]
+    #[case(0, "a0 t0 m0 P00", "5: a part counted twice")]
+    #[case(0, "a0 t0 m0 A0", "5: an answer called whole")]
+    #[case(1, "a0 t0 505 a0", "")]
+    #[case(1, "a0 t0 506 a0", "2: numbered")]
+    #[case(2, "a0 a0 t0 D", "2: at-most-once, declined")]
+    #[case(2, "a0 a0 t0 S", "")]
+    #[case(2, "a0 t0 a0", "2: at-most-once, sent again")]
+    #[case(0, "55 d0", "")]
+    #[case(0, "56 d0", "3: sent past")]
+    #[case(0, "F", "4: a cold")]
+    #[case(0, "a0 a0 a0 S", "")]
+    #[case(0, "a0 a0 a0 a0 S", "6: more")]
+    #[case(0, "a0 a0 101 a0 200 a0 a0", "6: more")]
+    #[case(0, "a0 a0 101 a0 S", "")]
+    fn tells_each_break(#[case] kind: usize, #[case] steps: &str, #[case] rule: &str) {
+        let mut audit = audit();
+        audit.asked(Tenths(0), 0, kind, &[0.5, 0.5]);
+        let mut now = Tenths(0);
+        for step in steps.split(' ') {
+            let (word, rest) = step.split_at(1);
+            let parts: Vec<PartNo> = rest.bytes().map(|b| PartNo(usize::from(b - b'0'))).collect();
+            let part = parts.first().copied().unwrap_or(PartNo(0));
+            let mut end = |end: Final| _ = audit.ends(now, 0, &end);
+            match word {
+                "a" => audit.arrived(now, part, READY),
+                "d" => audit.arrived(now, part, (Standing::Draining, Tenths(0))),
+                "t" => audit.taken(now, part),
+                "m" => audit.made(now, part),
+                "A" => end(Final::Answered { whole: true, held: parts }),
+                "P" => end(Final::Answered { whole: false, held: parts }),
+                "D" => end(Final::Declined),
+                "S" => end(Final::Scrapped),
+                "F" => audit.fell_over(now),
+                "C" => audit.close(now),
+                _ => now = Tenths(step.parse().unwrap()),
+            }
+        }
+        let told: Vec<&str> = audit.broken().keys().copied().collect();
+        match rule {
+            "" => assert!(told.is_empty(), "{told:?}"),
+            rule => assert!(told.len() == 1 && told[0].starts_with(rule), "{told:?}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/loopback.rs
@@ -0,0 +1,585 @@
+//! A plan played on sockets: brokers as they are, model hosts behind scripted peers, a discovery, clients, all on
+//! loopback, in one process and on one thread.
+//!
+//! Sockets and clocks are not deterministic; this is how the day is all the same. There is one clock, tokio's, paused:
+//! it moves a millisecond at a time, and only when every party is idle. Idle is no guess by waiting: each broker's open
+//! retrievals must be those that clients wait for, its pushes those that hosts hold or have just heard, and its
+//! question for changes of the roll must lie at discovery; whatever is on its way, in either direction, makes one of
+//! them differ. Then one thing happens, in a stated order, and the parties come to rest again. A machine that is too
+//! busy makes this slow, never different; past a stated patience there is no figure at all.
+
+use crate::audit::{Audit, Final, PartNo};
+use crate::outcome::{Of, Outcome, Standings};
+use crate::rehearse::Cast;
+use crate::scene::{self, ROLL_LATE};
+use barleydrum::{Standing, Tenths};
+use broker::{Order, Running};
+use ledger_host::script::{self, Catalog, Client, Heard, Node, Part, Reply};
+use ledger_host::{Host, JobNo, Load, State, Taken};
+use serde::Deserialize;
+use serde_json::json;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+use tokio::sync::mpsc;
+use tokio::task::{spawn_local, yield_now};
+use trace::plan::{Happens, HostEvent, Plan, Staging};
+
+/// Why a day on sockets has no figure.
+#[derive(Debug, Error)]
+pub enum NoFigure {
+    #[error("sockets: {0}")]
+    Io(#[from] io::Error),
+    #[error("the brokers' settings: {0}")]
+    Settings(String),
+    #[error(
+        "the machine was too busy: at {at_ms} ms of the day the parties did not come to rest within {patience_s} s ({what})"
+    )]
+    Busy { at_ms: f64, patience_s: f64, what: String },
+}
+
+/// The least step of the clock: that of tokio's timers.
+const STEP: Tenths = Tenths(10);
+const STEPS_A_SECOND: u64 = 1000;
+/// How long the parties may take to come to rest, by the wall's clock, before the day is given up.
+const PATIENCE: Duration = Duration::from_secs(20);
+/// So many rounds of all tasks with nothing under way: what was heard has then gone through every channel.
+const QUIET: u32 = 6;
+/// An idle connection of a client is not used again after this: the broker might just be closing it.
+const IDLE: Tenths = Tenths(200_000);
+/// The rules' limits are so much longer on sockets.
+const SLACK: Tenths = Tenths(500);
+/// After its last entry a day lasts so long at the most.
+const REST: Tenths = Tenths(200_000);
+/// The brokers' clock starts here, in Unix time: the same in each run.
+const SINCE: Tenths = Tenths(17_000_000_000_000);
+
+/// Plays a plan; `going_on` is asked once for each second of the day.
+pub fn play(
+    plan: Plan,
+    staging: &Staging,
+    cast: Cast,
+    going_on: impl FnMut(Tenths, Tenths) -> bool,
+) -> Result<Outcome, NoFigure> {
+    play_within(PATIENCE, plan, staging, cast, going_on)
+}
+
+fn play_within(
+    patience: Duration,
+    plan: Plan,
+    staging: &Staging,
+    cast: Cast,
+    going_on: impl FnMut(Tenths, Tenths) -> bool,
+) -> Result<Outcome, NoFigure> {
+    // Paused from its first moment: what is left of a millisecond would else differ from run to run.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build()?;
+    let runtime = actix_rt::Runtime::from(runtime);
+    runtime.block_on(async {
+        let mut day = Day::begin(patience, plan, staging, cast).await?;
+        day.play(going_on).await?;
+        Ok(day.outcome)
+    })
+}
+
+#[derive(Deserialize)]
+struct Answered {
+    entire: bool,
+    items: Vec<Item>,
+}
+
+#[derive(Deserialize)]
+struct Item {
+    slice: u32,
+    body: String,
+}
+
+struct Retrieval {
+    broker: usize,
+    of: Of,
+    first: usize,
+    /// Shard and microseconds of each part.
+    parts: Vec<(u32, u64)>,
+}
+
+/// A part at a host: on which connection, as what.
+struct Job {
+    host: usize,
+    line: usize,
+    id: String,
+    part: PartNo,
+}
+
+/// The reply to a retrieval, and the connection that it came on; none: it broke off.
+type Came = (usize, Option<(Reply, Client)>);
+
+struct Day {
+    patience: Duration,
+    now: Tenths,
+    last: Tenths,
+    plan: VecDeque<trace::plan::Entry>,
+    cast: Cast,
+    names: Vec<String>,
+    cut_offs: Vec<u32>,
+    catalog: Catalog,
+    nodes: Vec<Node>,
+    hosts: Vec<Host>,
+    heard: mpsc::UnboundedReceiver<(usize, usize, Heard)>,
+    /// Heard and not yet looked at.
+    inbox: Vec<(usize, usize, Heard)>,
+    /// When discovery will tell of a host, and what it told last.
+    telling: VecDeque<(Tenths, usize)>,
+    told: Vec<(Standing, Tenths)>,
+    brokers: Vec<Running>,
+    /// Idle connections of clients by broker, and since when.
+    idle: Vec<Vec<(Tenths, Client)>>,
+    waiting: usize,
+    came: mpsc::UnboundedReceiver<Came>,
+    tell_came: mpsc::UnboundedSender<Came>,
+    finished: BTreeMap<usize, Option<(Reply, Client)>>,
+    retrievals: Vec<Retrieval>,
+    jobs: BTreeMap<JobNo, Job>,
+    job_of: BTreeMap<(usize, usize, String), JobNo>,
+    next_job: u64,
+    hasher: blake3::Hasher,
+    audit: Audit,
+    outcome: Outcome,
+}
+
+impl Day {
+    async fn begin(patience: Duration, plan: Plan, staging: &Staging, cast: Cast) -> Result<Day, NoFigure> {
+        let catalog = Catalog::start().await?;
+        let (tell, heard) = mpsc::unbounded_channel();
+        let nodes = (0..staging.hosts as usize).map(|at| Node::reserved(at, tell.clone()));
+        let nodes = nodes.collect::<io::Result<Vec<Node>>>()?;
+        let hosts: Vec<Host> = (0..staging.hosts).map(|_| scene::dead_host(&cast)).collect();
+        let mut brokers = Vec::new();
+        for no in 0..cast.brokers {
+            let seed = cast.seed ^ u64::from(no).rotate_left(32);
+            let config = json!({"name": format!("b{no}"), "listen": "127.0.0.1:0",
+                "discovery": catalog.address.to_string(), "seed": format!("{seed:x}"),
+                // As much as the day may need: connections that are let go for want of room are another matter.
+                "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": 16384},
+                "settings": scene::settings(staging, &cast)});
+            let mut order =
+                Order::read(config.to_string().as_bytes(), |_| None).map_err(NoFigure::Settings)?;
+            order.since = Some(SINCE);
+            brokers.push(broker::start(order).await?);
+        }
+        let (tell_came, came) = mpsc::unbounded_channel();
+        let last = Tenths(plan.entries.last().map_or(0, |entry| entry.at) as i64);
+        let mut day = Day {
+            patience,
+            now: Tenths(0),
+            last,
+            plan: plan.entries.into(),
+            names: staging.categories.iter().map(|told| told.name.clone()).collect(),
+            cut_offs: staging.categories.iter().map(|told| told.cut_off).collect(),
+            catalog,
+            told: vec![(Standing::Gone, Tenths(0)); hosts.len()],
+            nodes,
+            hosts,
+            heard,
+            inbox: Vec::new(),
+            telling: VecDeque::new(),
+            idle: brokers.iter().map(|_| Vec::new()).collect(),
+            waiting: 0,
+            came,
+            tell_came,
+            finished: BTreeMap::new(),
+            retrievals: Vec::new(),
+            jobs: BTreeMap::new(),
+            job_of: BTreeMap::new(),
+            next_job: 0,
+            hasher: blake3::Hasher::new(),
+            audit: Audit::new(scene::bounds(staging, SLACK), brokers.len()),
+            brokers,
+            outcome: Outcome::new(scene::worth(staging), staging.callers.len()),
+            cast,
+        };
+        day.gather().await?;
+        Ok(day)
+    }
+
+    /// Each broker asks discovery in its first turn: until then the clock stands.
+    async fn gather(&mut self) -> Result<(), NoFigure> {
+        // Guards against a runtime that finds nothing to do but wait for a socket: with its clock paused, it would
+        // move that on to the next timer by itself.
+        spawn_local(async {
+            loop {
+                yield_now().await;
+            }
+        });
+        self.rest().await
+    }
+
+    async fn play(&mut self, mut going_on: impl FnMut(Tenths, Tenths) -> bool) -> Result<(), NoFigure> {
+        let mut step = 0_u64;
+        loop {
+            self.due().await?;
+            if step.is_multiple_of(STEPS_A_SECOND) {
+                if !going_on(self.now.min(self.last), self.last) {
+                    self.outcome.stopped_at = Some(self.now);
+                    break;
+                }
+                if self.now <= self.last {
+                    self.outcome.second(self.now).hosts = Standings::of(&self.hosts, self.now);
+                }
+            }
+            let over = self.plan.is_empty() && self.waiting == 0 && self.jobs.is_empty();
+            if over || self.now > self.last + REST {
+                break;
+            }
+            step += 1;
+            self.now += STEP;
+            tokio::time::advance(Duration::from_millis(1)).await;
+            self.rest().await?;
+        }
+        if self.outcome.stopped_at.is_none() {
+            self.audit.close(self.now);
+        }
+        self.outcome.broken = self.audit.broken().clone();
+        self.outcome.digest = self.hasher.finalize().to_hex().to_string();
+        Ok(())
+    }
+
+    /// What is due at this moment, one after the other: hosts by their numbers, discovery, then the plan's entries.
+    async fn due(&mut self) -> Result<(), NoFigure> {
+        for host in 0..self.hosts.len() {
+            while let Some(no) = self.hosts[host].end(self.now) {
+                let load = self.hosts[host].load(self.now);
+                if let Some(Job { host, line, id, part }) = self.jobs.remove(&no) {
+                    self.job_of.remove(&(host, line, id.clone()));
+                    self.audit.made(self.now, part);
+                    // Its id is its value: a client can tell it from any other part's.
+                    self.nodes[host].end_with(line, &id, 'S', &report(load), &format!("v{id}")).await;
+                    self.rest().await?;
+                }
+            }
+        }
+        while let Some((_, host)) = self.telling.pop_front_if(|(at, _)| *at <= self.now) {
+            self.tell(host).await?;
+        }
+        while let Some(entry) = self.plan.pop_front_if(|entry| entry.at as i64 <= self.now.0) {
+            match entry.what {
+                Happens::Ask { category, caller, parts } => self.ask(category, caller, &parts).await?,
+                Happens::Host { host, event } => self.host_event(host as usize, event).await?,
+            }
+        }
+        Ok(())
+    }
+
+    // ---- coming to rest
+
+    fn busy(&self, what: &str) -> NoFigure {
+        NoFigure::Busy {
+            at_ms: self.now.as_ms(),
+            patience_s: self.patience.as_secs_f64(),
+            what: what.to_owned(),
+        }
+    }
+
+    /// Until nothing is under way; then what came is looked at, in a stated order, until that brings nothing more.
+    async fn rest(&mut self) -> Result<(), NoFigure> {
+        let until = Instant::now() + self.patience;
+        loop {
+            let mut quiet = 0;
+            while quiet < QUIET {
+                yield_now().await;
+                self.fetch();
+                quiet = if self.under_way().is_none() { quiet + 1 } else { 0 };
+                if quiet == 0 && Instant::now() > until {
+                    return Err(self.busy(self.under_way().unwrap_or("nothing was seen to be under way")));
+                }
+                if quiet == QUIET && !self.hold_what_is_out() {
+                    quiet = 0;
+                }
+            }
+            if self.inbox.is_empty() && self.finished.is_empty() {
+                return Ok(());
+            }
+            self.look().await?;
+        }
+    }
+
+    fn fetch(&mut self) {
+        while let Ok(heard) = self.heard.try_recv() {
+            self.inbox.push(heard);
+        }
+        while let Ok((no, reply)) = self.came.try_recv() {
+            self.waiting -= 1;
+            self.finished.insert(no, reply);
+        }
+    }
+
+    /// What is on its way, told by the counts alone.
+    fn under_way(&self) -> Option<&'static str> {
+        let open: usize = self.brokers.iter().map(|broker| broker.desk.open_retrievals()).sum();
+        let out: usize = self.brokers.iter().map(|broker| broker.desk.count_out()).sum();
+        if open != self.waiting {
+            return Some("a request or an answer");
+        }
+        if out != self.jobs.len() + self.new_parts().count() - self.given_up().count() {
+            return Some("a part, an end or a withdrawal");
+        }
+        (self.catalog.waiting() < self.brokers.len()).then_some("word of the roll")
+    }
+
+    fn new_parts(&self) -> impl Iterator<Item = (usize, &Part)> {
+        self.inbox.iter().flat_map(|(host, _, heard)| match heard {
+            Heard::Call(parts) => parts.iter().map(|part| (*host, part)).collect::<Vec<_>>(),
+            _ => Vec::new(),
+        })
+    }
+
+    /// Withdrawals in the inbox of what is at the host, or in the inbox before it.
+    fn given_up(&self) -> impl Iterator<Item = (usize, &str)> {
+        self.inbox.iter().enumerate().filter_map(|(at, (host, line, heard))| {
+            let Heard::GiveUp(id) = heard else { return None };
+            let held = self.job_of.contains_key(&(*host, *line, id.clone()));
+            let before = self.inbox[..at].iter().any(|(h, l, heard)| {
+                (h, l) == (host, line)
+                    && matches!(heard, Heard::Call(parts) if parts.iter().any(|p| p.id == *id))
+            });
+            (held || before).then_some((*host, &id[..]))
+        })
+    }
+
+    /// Whether what brokers have out is, part by part, what hosts hold or have just heard.
+    fn hold_what_is_out(&self) -> bool {
+        let mut out: Vec<_> = self.brokers.iter().flat_map(|broker| broker.desk.pushes_out()).collect();
+        out.sort();
+        let address = |host: usize| self.nodes[host].address;
+        let mut held: Vec<_> =
+            self.jobs.values().map(|job| (address(job.host), job.id.clone().into_bytes())).collect();
+        held.extend(self.new_parts().map(|(host, part)| (address(host), part.id.clone().into_bytes())));
+        held.sort();
+        for (host, id) in self.given_up() {
+            if let Some(at) = held.iter().position(|held| held.0 == address(host) && held.1 == id.as_bytes())
+            {
+                held.remove(at);
+            }
+        }
+        out.iter().map(|(address, id)| (*address, &id[..])).eq(held.iter().map(|(a, id)| (*a, &id[..])))
+    }
+
+    /// Looks at what came: at hosts by number, then connections by the retrievals that they brought, each in the order
+    /// in which it came; then at clients.
+    async fn look(&mut self) -> Result<(), NoFigure> {
+        let mut groups: BTreeMap<(usize, usize), Vec<Heard>> = BTreeMap::new();
+        for (host, line, heard) in std::mem::take(&mut self.inbox) {
+            groups.entry((host, line)).or_default().push(heard);
+        }
+        let mut groups: Vec<_> = groups.into_iter().collect();
+        groups.sort_by_cached_key(|((host, line), heard)| {
+            (*host, heard.iter().filter_map(first_of).min(), *line)
+        });
+        for ((host, line), heard) in groups {
+            for heard in heard {
+                match heard {
+                    Heard::Call(parts) => {
+                        for part in parts {
+                            self.arrive(host, line, &part).await?;
+                        }
+                    }
+                    Heard::GiveUp(id) => {
+                        if let Some(no) = self.job_of.remove(&(host, line, id)) {
+                            self.jobs.remove(&no);
+                            self.hosts[host].give_up(self.now, no);
+                        }
+                    }
+                    Heard::Closed | Heard::Other => {}
+                }
+            }
+        }
+        for (no, reply) in std::mem::take(&mut self.finished) {
+            self.end(no, reply);
+        }
+        Ok(())
+    }
+
+    // ---- hosts
+
+    /// What a part's id on the wire says: the retrieval and its part.
+    fn part_of(&self, id: &str) -> Option<(PartNo, u64)> {
+        let (no, shard) = numbers(id)?;
+        let retrieval = self.retrievals.get(no)?;
+        let at = retrieval.parts.iter().position(|(s, _)| *s == shard)?;
+        Some((PartNo(retrieval.first + at), retrieval.parts[at].1))
+    }
+
+    async fn arrive(&mut self, host: usize, line: usize, part: &Part) -> Result<(), NoFigure> {
+        self.hasher.update(format!("{} {host} {}\n", self.now.0, part.id).as_bytes());
+        self.outcome.push(self.now);
+        let (no, us) = self.part_of(&part.id).unwrap_or((PartNo(usize::MAX), 0));
+        self.audit.arrived(self.now, no, self.told[host]);
+        self.next_job += 1;
+        let job = JobNo(self.next_job);
+        match self.hosts[host].take(self.now, job, us) {
+            Taken::Begun | Taken::Queued => {
+                self.audit.taken(self.now, no);
+                // The same part again on one connection: the broker waits for the newer alone.
+                if let Some(older) = self.job_of.insert((host, line, part.id.clone()), job) {
+                    self.jobs.remove(&older);
+                    self.hosts[host].give_up(self.now, older);
+                }
+                self.jobs.insert(job, Job { host, line, id: part.id.clone(), part: no });
+            }
+            Taken::Refused => {
+                let load = report(self.hosts[host].load(self.now));
+                self.nodes[host].end_with(line, &part.id, 'B', &load, "").await;
+            }
+            // It fell while this was on its way.
+            Taken::Unreachable => {}
+            Taken::FellOver => {
+                self.audit.fell_over(self.now);
+                self.fall(host).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn fall(&mut self, host: usize) -> Result<(), NoFigure> {
+        for no in self.hosts[host].die() {
+            if let Some(job) = self.jobs.remove(&no) {
+                self.job_of.remove(&(job.host, job.line, job.id));
+            }
+        }
+        self.nodes[host].fall().await?;
+        self.telling.push_back((self.now + ROLL_LATE, host));
+        Ok(())
+    }
+
+    async fn host_event(&mut self, host: usize, event: HostEvent) -> Result<(), NoFigure> {
+        match event {
+            HostEvent::Warm => {
+                self.hosts[host] = scene::warm_host(&self.cast);
+                self.nodes[host].listen()?;
+                return self.tell(host).await;
+            }
+            HostEvent::Start => {
+                self.hosts[host].start(self.now);
+                self.nodes[host].listen()?;
+                self.telling.push_back((self.now + ROLL_LATE, host));
+            }
+            HostEvent::Drain => {
+                self.hosts[host].drain();
+                return self.tell(host).await;
+            }
+            HostEvent::Death => self.fall(host).await?,
+            HostEvent::Slow(share) => self.hosts[host].slow(share),
+        }
+        self.rest().await
+    }
+
+    /// Discovery tells how a host stands.
+    async fn tell(&mut self, host: usize) -> Result<(), NoFigure> {
+        let state = self.hosts[host].state();
+        let phase = match state {
+            State::Ready => "ready",
+            State::Draining => "draining",
+            State::Dead => "gone",
+        };
+        let started = self.hosts[host].started().map(|at| (SINCE + at).as_ms());
+        let id = format!("h-{host}");
+        let entry = json!({"id": id, "host_port": self.nodes[host].address.to_string(), "locality": "hall",
+            "cell": host as u32 % self.cast.cells, "phase": phase, "up_since_ms": started.unwrap_or(0.0)});
+        self.catalog.set(&id, entry);
+        self.told[host] = (scene::standing(state), self.now);
+        self.rest().await
+    }
+
+    // ---- clients
+
+    async fn ask(
+        &mut self,
+        category: usize,
+        caller: usize,
+        told: &[(u32, f64, u64)],
+    ) -> Result<(), NoFigure> {
+        let no = self.retrievals.len();
+        let broker = no % self.brokers.len();
+        let of = Of { category, caller, at: self.now };
+        self.outcome.ask(of);
+        let weights: Vec<f64> = told.iter().map(|(_, weight, _)| *weight).collect();
+        let PartNo(first) = self.audit.asked(self.now, broker, category, &weights);
+        let parts = told.iter().map(|(shard, _, us)| (*shard, *us)).collect();
+        self.retrievals.push(Retrieval { broker, of, first, parts });
+        let slices: Vec<(u32, f64)> = told.iter().map(|(shard, weight, _)| (*shard, *weight)).collect();
+        let (left, body) = (u64::from(self.cut_offs[category]), script::body(&slices, "x"));
+        let request = script::request(&format!("r{no}"), &self.names[category], left, &body);
+        let fresh = self.idle[broker].pop().filter(|(since, _)| self.now - *since < IDLE);
+        if fresh.is_none() {
+            self.idle[broker].clear();
+        }
+        self.waiting += 1;
+        let (came, listens) = (self.tell_came.clone(), self.brokers[broker].listens);
+        spawn_local(async move {
+            let asked = async {
+                let mut client = match fresh {
+                    Some((_, client)) => client,
+                    None => Client::to(listens).await.ok()?,
+                };
+                client.write(&request).await.ok()?;
+                let reply = client.reply().await?;
+                Some((reply, client))
+            };
+            // The day may have been given up.
+            let _ = came.send((no, asked.await));
+        });
+        self.rest().await
+    }
+
+    fn end(&mut self, no: usize, reply: Option<(Reply, Client)>) {
+        let Retrieval { broker, of, first, ref parts } = self.retrievals[no];
+        let (status, body) = reply.as_ref().map_or((0, ""), |(reply, _)| (reply.status, &reply.body[..]));
+        let end = match status {
+            200 => match serde_json::from_str::<Answered>(body) {
+                Ok(Answered { entire, items }) => {
+                    let part = |item: &Item| {
+                        let at = parts.iter().position(|(shard, _)| *shard == item.slice);
+                        let mine = at.filter(|_| item.body == format!("vr{no}.{}", item.slice));
+                        PartNo(mine.map_or(usize::MAX, |at| first + at))
+                    };
+                    Final::Answered { whole: entire, held: items.iter().map(part).collect() }
+                }
+                Err(_) => Final::Answered { whole: false, held: Vec::new() },
+            },
+            503 => Final::Declined,
+            // Anything else promises nothing.
+            _ => Final::Scrapped,
+        };
+        self.hasher.update(format!("{} r{no} {status} {end:?}\n", self.now.0).as_bytes());
+        if let Some((_, client)) = reply {
+            self.idle[broker].push((self.now, client));
+        }
+        let Some(share) = self.audit.ends(self.now, no, &end) else { return };
+        match end {
+            Final::Answered { .. } => self.outcome.answer(self.now, of, share),
+            Final::Declined => self.outcome.decline(self.now, of),
+            Final::Scrapped => self.outcome.scrap(self.now),
+        }
+    }
+}
+
+fn report(load: Load) -> String {
+    format!("queue={},qps={},inflight={}", load.queue, load.qps, load.inflight)
+}
+
+/// `r17.3`: retrieval 17, shard 3.
+fn numbers(id: &str) -> Option<(usize, u32)> {
+    let (no, shard) = id.strip_prefix('r')?.split_once('.')?;
+    Some((no.parse().ok()?, shard.parse().ok()?))
+}
+
+/// The first retrieval that something heard is about.
+fn first_of(heard: &Heard) -> Option<usize> {
+    match heard {
+        Heard::Call(parts) => parts.iter().filter_map(|part| Some(numbers(&part.id)?.0)).min(),
+        Heard::GiveUp(id) => numbers(id).map(|(no, _)| no),
+        Heard::Other | Heard::Closed => None,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/loopback/tests.rs
@@ -0,0 +1,127 @@
+use super::*;
+use crate::rehearse::Mind;
+use rstest::rstest;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use trace::plan::{Budget, Cast as Role, Entry, Repeats};
+
+fn staging() -> Staging {
+    let role = |name: &str, parts, payoff, least, repeats| Role {
+        name: name.to_owned(),
+        share: 1.0,
+        parts,
+        skew: 1.0,
+        cut_off: 5000,
+        payoff,
+        least,
+        repeats,
+    };
+    Staging {
+        seed: 1,
+        from: 0,
+        to: 4_000_000,
+        stretch: 1.0,
+        sample: 1.0,
+        load: 0.5,
+        hosts: 6,
+        host_ms_per_s: 4000.0,
+        shards: 12,
+        categories: vec![
+            role("report", (4, 8), 3.0, 0.4, Repeats::Reissuable),
+            role("lookup", (1, 2), 1.0, 1.0, Repeats::Reissuable),
+            role("booking", (1, 2), 1.0, 1.0, Repeats::Numbered(1000)),
+            role("dispensing", (1, 2), 1.0, 1.0, Repeats::AtMostOnce),
+        ],
+        callers: vec![1.0],
+        drains: 0.0,
+        drain_for: 20_000,
+        budget: Some(Budget { few: 3.0, share: 0.1, window_ms: 5000 }),
+        most: 1_000_000,
+    }
+}
+
+fn cast() -> Cast {
+    Cast { brokers: 2, mind: Mind::Module, seed: 5, cells: 3, cores: 4 }
+}
+
+/// Three seconds of retrievals, four parts of 20 ms each, so many a second; half of the hosts die in one instant and
+/// come back cold, one drains.
+fn plan(a_second: u64, events: &[(u64, u32, HostEvent)]) -> Plan {
+    let host = |at, host, event| Entry { at, what: Happens::Host { host, event } };
+    let mut entries: Vec<Entry> = (0..6).map(|no| host(0, no, HostEvent::Warm)).collect();
+    entries.extend(events.iter().map(|(at, no, event)| host(*at, *no, *event)));
+    for no in 0..3 * a_second {
+        let parts = (0..4).map(|at| ((no as u32 * 5 + at) % 12, 0.25, 20_000)).collect();
+        let what = Happens::Ask { category: (no % 4) as usize, caller: 0, parts };
+        entries.push(Entry { at: 1_000 + no * 10_000 / a_second, what });
+    }
+    entries.sort_by_key(|entry| entry.at);
+    Plan { entries, jobs_out: 0, machines_out: 0, running: 0, ms_per_unit: 1.0 }
+}
+
+fn troubled() -> Plan {
+    let mut events: Vec<_> = [0, 2, 4].map(|no| (8_000, no, HostEvent::Death)).to_vec();
+    events.extend([0, 2, 4].map(|no| (14_000, no, HostEvent::Start)));
+    events.extend([(17_000, 1, HostEvent::Drain), (24_000, 1, HostEvent::Death)]);
+    plan(80, &events)
+}
+
+fn day(plan: Plan) -> Outcome {
+    play(plan, &staging(), cast(), |_, _| true).unwrap()
+}
+
+/// The same service and the same digest of all that hosts and clients got, on five runs, one of them beside a busy loop
+/// on every core; and no rule broken by that.
+#[rstest]
+fn the_same_day_on_sockets_each_time() {
+    let first = day(troubled());
+    assert!(first.broken.is_empty() && first.service.share() > 0.5, "{}", first.json());
+    assert!(first.pushes > first.retrievals && first.retrievals == 240, "{}", first.json());
+    for _ in 0..3 {
+        assert_eq!(day(troubled()).json(), first.json());
+    }
+    let over = Arc::new(AtomicBool::new(false));
+    let cores = std::thread::available_parallelism().map_or(4, usize::from);
+    let busy = |_| {
+        let over = over.clone();
+        std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) {
+                std::hint::spin_loop();
+            }
+        })
+    };
+    let loops: Vec<_> = (0..cores).map(busy).collect();
+    let beside = day(troubled());
+    over.store(true, Ordering::Relaxed);
+    loops.into_iter().for_each(|busy| busy.join().unwrap());
+    assert_eq!(beside.json(), first.json());
+}
+
+#[rstest]
+fn serves_all_in_quiet_times() {
+    let outcome = day(plan(60, &[]));
+    assert!(outcome.service.share() > 0.99 && outcome.broken.is_empty(), "{}", outcome.json());
+}
+
+/// Hotter than the hosts can bear: declined at once, and the figure says so.
+#[rstest]
+fn declines_at_once_under_too_much() {
+    let outcome = day(plan(500, &[]));
+    assert!(outcome.broken.is_empty() && outcome.declined > 100, "{}", outcome.json());
+    assert!(outcome.slowest_decline < scene::GOAL && outcome.service.share() < 0.95, "{}", outcome.json());
+}
+
+/// Without patience there is no figure, rather than a wrong one.
+#[rstest]
+fn says_when_there_is_no_figure() {
+    let none = play_within(Duration::ZERO, troubled(), &staging(), cast(), |_, _| true);
+    assert!(matches!(none, Err(NoFigure::Busy { .. })), "{none:?}");
+}
+
+/// Broken off, it tells what was played as partial.
+#[rstest]
+fn tells_what_was_played_when_broken_off() {
+    let outcome = play(troubled(), &staging(), cast(), |now, _| now < Tenths(10_000)).unwrap();
+    assert_eq!(outcome.stopped_at, Some(Tenths(10_000)));
+    assert!(outcome.broken.is_empty() && outcome.retrievals < 120, "{}", outcome.json());
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,10 +1,17 @@
 //! The laboratory: measures the product's parts at size, in virtual time. Figures it prints are simulated.
 //! Exit codes: 0 passed, or sound; 1 not so; 2 a mistake in the words, or a file that can't be begun.
 
+mod audit;
+mod baseline;
+mod demo;
 mod fleet;
 mod lean;
+mod loopback;
+mod outcome;
 mod reading;
 mod rehearse;
+mod report;
+mod scene;
 mod traces;
 mod versions;
 
@@ -27,6 +34,12 @@
 
 #[derive(Subcommand)]
 enum Command {
+    /// A first look: brokers, hosts and discovery on loopback play a small trace that comes with the program.
+    Demo {
+        /// Where the page of plots is left.
+        #[arg(long, value_name = "FILE", default_value = "barleydrum-demo.html")]
+        report: PathBuf,
+    },
     /// Public cluster traces in CSV.
     Trace {
         #[command(subcommand)]
@@ -67,7 +80,7 @@
     },
     /// Print what brokers and hosts would feel of a window of these files, and the plan's digest.
     Plan(traces::Planned),
-    /// Play the plan in virtual time: the module, or a baseline, among model hosts. Its figures are simulated.
+    /// Play the plan among model hosts: the module or a baseline in virtual time, or brokers on loopback sockets.
     Run(traces::Played),
 }
 
@@ -92,6 +105,7 @@
         Command::Trace { command: TraceCommand::Check { files, layout, tolerate, json } } => {
             return traces::check(&files, layout.as_deref(), tolerate, json);
         }
+        Command::Demo { report } => return demo::run(report),
         Command::Trace { command: TraceCommand::Plan(planned) } => return traces::plan(&planned),
         Command::Trace { command: TraceCommand::Run(played) } => return traces::run(&played),
         Command::Measure { what, size, seed, program, against } => (what, size, seed, program, against),
--- a/crates/lab/src/rehearse/tests.rs
+++ b/crates/lab/src/rehearse/tests.rs
@@ -1,10 +1,18 @@
 use super::*;
 use rstest::rstest;
-use trace::plan::{Cast as Role, Entry};
+use trace::plan::{Budget, Cast as Role, Entry, Repeats};
 
 fn staging() -> Staging {
-    let role =
-        |name: &str, parts| Role { name: name.to_owned(), share: 1.0, parts, skew: 1.0, cut_off: 5000 };
+    let role = |name: &str, parts, payoff, least, repeats| Role {
+        name: name.to_owned(),
+        share: 1.0,
+        parts,
+        skew: 1.0,
+        cut_off: 5000,
+        payoff,
+        least,
+        repeats,
+    };
     Staging {
         seed: 1,
         from: 0,
@@ -15,10 +23,16 @@
         hosts: 8,
         host_ms_per_s: 4000.0,
         shards: 16,
-        categories: vec![role("report", (4, 8)), role("lookup", (1, 2))],
+        categories: vec![
+            role("report", (4, 8), 3.0, 0.4, Repeats::Reissuable),
+            role("lookup", (1, 2), 1.0, 1.0, Repeats::Reissuable),
+            role("booking", (1, 2), 1.0, 1.0, Repeats::Numbered(1000)),
+            role("dispensing", (1, 2), 1.0, 1.0, Repeats::AtMostOnce),
+        ],
         callers: vec![1.0],
         drains: 0.0,
         drain_for: 20_000,
+        budget: Some(Budget { few: 3.0, share: 0.05, window_ms: 5000 }),
         most: 1_000_000,
     }
 }
@@ -36,7 +50,7 @@
     }
     for no in 0..12 * a_second {
         let parts = (0..4).map(|at| ((no as u32 * 5 + at) % 16, 0.25, 20_000)).collect();
-        let what = Happens::Ask { category: (no % 2) as usize, caller: 0, parts };
+        let what = Happens::Ask { category: (no % 4) as usize, caller: 0, parts };
         entries.push(Entry { at: 10_000 + no * 10_000 / a_second, what });
     }
     entries.sort_by_key(|entry| entry.at);
@@ -44,7 +58,7 @@
 }
 
 fn play(mind: Mind, a_second: u64, hosts: &[(u64, u32, HostEvent)]) -> Outcome {
-    World::new(plan(a_second, hosts), &staging(), cast(mind)).play()
+    World::new(plan(a_second, hosts), &staging(), cast(mind)).play(|_, _| true)
 }
 
 #[rstest]
@@ -85,3 +99,37 @@
         random.json()
     );
 }
+
+/// Broken off, it tells what was played as partial, and holds nothing that was open against anybody.
+#[rstest]
+fn tells_what_was_played_when_broken_off() {
+    let outcome =
+        World::new(plan(100, &[]), &staging(), cast(Mind::Module)).play(|now, _| now < Tenths(50_000));
+    assert_eq!(outcome.stopped_at, Some(Tenths(50_000)));
+    assert!(outcome.broken.is_empty() && outcome.retrievals < 500, "{}", outcome.json());
+    assert_eq!(outcome.json()["partial"], serde_json::json!(true));
+}
+
+/// Thousands asked in one instant: each has its answer, and what is given up is given up at once.
+#[rstest]
+fn bears_thousands_in_one_instant() {
+    let mut sudden = plan(250, &[]);
+    let asks = |entry: &Entry| matches!(entry.what, Happens::Ask { .. });
+    sudden.entries.iter_mut().filter(|entry| asks(entry)).for_each(|entry| entry.at = 10_000);
+    let outcome = World::new(sudden, &staging(), cast(Mind::Module)).play(|_, _| true);
+    assert!(outcome.broken.is_empty() && outcome.retrievals == 3000, "{}", outcome.json());
+    assert_eq!(outcome.answered + outcome.declined + outcome.scrapped, 3000);
+    assert!(outcome.declined > 0 && outcome.slowest_decline < scene::GOAL, "{}", outcome.json());
+}
+
+/// The baselines break what the module keeps: the audit is one that can fail.
+#[rstest]
+fn the_audit_can_fail() {
+    let lost: Vec<_> = [0, 2, 4, 6].map(|host| (40_000, host, HostEvent::Death)).to_vec();
+    let outcome = play(Mind::Random, 100, &lost);
+    assert!(
+        outcome.broken.keys().any(|rule| rule.starts_with("2: at-most-once, declined")),
+        "{}",
+        outcome.json()
+    );
+}
--- /dev/null
+++ b/crates/lab/src/report.rs
@@ -0,0 +1,193 @@
+//! A day as a page: figures, and plots of load, service, latency and hosts over time. One HTML file that needs nothing
+//! else, the plots in it as SVG; the figures beside it as JSON.
+
+use crate::outcome::{Outcome, Second};
+use plotters::prelude::*;
+use serde_json::Value;
+use std::fmt::Write as _;
+use std::io;
+use std::path::Path;
+
+const SIZE: (u32, u32) = (900, 240);
+const BLUE_GREY: RGBColor = RGBColor(69, 90, 100);
+const GREEN_ISH: RGBColor = RGBColor(46, 125, 50);
+const AMBER: RGBColor = RGBColor(239, 108, 0);
+const RED_ISH: RGBColor = RGBColor(198, 40, 40);
+
+/// One line of a plot: what it is called, its colour, a point for each second.
+struct Curve {
+    name: &'static str,
+    colour: RGBColor,
+    points: Vec<(f64, f64)>,
+}
+
+type Reading = fn(&Second) -> Option<f64>;
+
+fn curve(outcome: &Outcome, name: &'static str, colour: RGBColor, reading: Reading) -> Curve {
+    let point = |(at, second): (usize, &Second)| Some((at as f64, reading(second)?));
+    Curve { name, colour, points: outcome.seconds.iter().enumerate().filter_map(point).collect() }
+}
+
+/// Draws curves over the day's seconds, from 0 to `most` at the least.
+fn plot(seconds: usize, unit: &str, most: f64, curves: &[Curve]) -> Result<String, String> {
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE).map_err(|e| e.to_string())?;
+        let top = curves.iter().flat_map(|c| &c.points).map(|(_, y)| *y).fold(most, f64::max) * 1.05;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(10)
+            .x_label_area_size(34)
+            .y_label_area_size(64)
+            .build_cartesian_2d(0.0..seconds.max(1) as f64, 0.0..top)
+            .map_err(|e| e.to_string())?;
+        chart
+            .configure_mesh()
+            .light_line_style(WHITE.mix(0.0))
+            .bold_line_style(BLACK.mix(0.12))
+            .x_desc("seconds of the day")
+            .y_desc(unit)
+            .y_labels(6)
+            .label_style(("sans-serif", 12))
+            .draw()
+            .map_err(|e| e.to_string())?;
+        for Curve { name, colour, points } in curves {
+            let colour = *colour;
+            chart
+                .draw_series(LineSeries::new(points.iter().copied(), colour.stroke_width(2)))
+                .map_err(|e| e.to_string())?
+                .label(*name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 14, y)], colour.stroke_width(2)));
+        }
+        if curves.len() > 1 {
+            chart
+                .configure_series_labels()
+                .position(SeriesLabelPosition::UpperRight)
+                .background_style(WHITE.mix(0.85))
+                .border_style(BLACK.mix(0.2))
+                .label_font(("sans-serif", 12))
+                .draw()
+                .map_err(|e| e.to_string())?;
+        }
+        area.present().map_err(|e| e.to_string())?;
+    }
+    Ok(svg)
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+fn plots(outcome: &Outcome) -> Result<Vec<(&'static str, String)>, String> {
+    let seconds = outcome.seconds.len();
+    let line = |name, colour, reading: Reading| curve(outcome, name, colour, reading);
+    let load = [
+        line("asked", BLUE_GREY, |s| Some(f64::from(s.asked))),
+        line("answered", GREEN_ISH, |s| Some(f64::from(s.answered))),
+        line("declined", AMBER, |s| Some(f64::from(s.declined))),
+        line("scrapped", RED_ISH, |s| Some(f64::from(s.scrapped))),
+    ];
+    let service = [line("service", GREEN_ISH, |s| (s.service.asked > 0.0).then(|| s.service.share()))];
+    let latency =
+        [line("median", GREEN_ISH, |s| s.latency_ms(0.5)), line("p99", AMBER, |s| s.latency_ms(0.99))];
+    let pushes = [line("pushes", BLUE_GREY, |s| Some(f64::from(s.pushes)))];
+    let hosts = [
+        line("warm", GREEN_ISH, |s| standing(s, s.hosts.warm)),
+        line("cold", AMBER, |s| standing(s, s.hosts.cold)),
+        line("draining", BLUE_GREY, |s| standing(s, s.hosts.draining)),
+        line("gone", RED_ISH, |s| standing(s, s.hosts.gone)),
+    ];
+    Ok(vec![
+        ("Retrievals a second", plot(seconds, "a second", 1.0, &load)?),
+        ("Service, by the second in which it was asked", plot(seconds, "share of payoff", 1.0, &service)?),
+        ("Latency of answers", plot(seconds, "ms", 1.0, &latency)?),
+        ("Pushes that reached hosts, a second", plot(seconds, "a second", 1.0, &pushes)?),
+        ("Hosts", plot(seconds, "hosts", 1.0, &hosts)?),
+    ])
+}
+
+/// Nothing is noted of hosts behind the plan's end.
+fn standing(second: &Second, count: u32) -> Option<f64> {
+    let all = second.hosts.warm + second.hosts.cold + second.hosts.draining + second.hosts.gone;
+    (all > 0).then(|| f64::from(count))
+}
+
+fn page(outcome: &Outcome, told: &Value, title: &str) -> Result<String, String> {
+    let mut page = format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{0}</title><style>\
+         body{{font:15px/1.5 sans-serif;max-width:920px;margin:2em auto;color:#222}}\
+         table{{border-collapse:collapse;margin:1em 0}}td,th{{padding:2px 14px 2px 0;text-align:left}}\
+         td+td{{font-variant-numeric:tabular-nums}}.bad{{color:#c62828;font-weight:bold}}\
+         code{{font-size:12px;word-break:break-all}}h2{{font-size:16px;margin:1.4em 0 0}}svg{{width:100%;height:auto}}\
+         </style><h1>A day rehearsed</h1><p>{0}</p>",
+        escape(title)
+    );
+    // Writing to a string can't fail.
+    let mut put = |text: std::fmt::Arguments| _ = page.write_fmt(text);
+    if let Some(at) = outcome.stopped_at {
+        put(format_args!(
+            "<p class=\"bad\">Partial: broken off at {:.1} s; all figures are of what was played.</p>",
+            at.as_ms() / 1000.0
+        ));
+    }
+    put(format_args!("<table>"));
+    let row = |put: &mut dyn FnMut(std::fmt::Arguments), name: &str, value: String| {
+        put(format_args!("<tr><td>{}</td><td>{}</td></tr>", escape(name), escape(&value)));
+    };
+    row(
+        &mut put,
+        "Service (payoff answered within the goal time over payoff asked for)",
+        format!("{:.4}", outcome.service.share()),
+    );
+    for (worth, service) in outcome.worth.iter().zip(&outcome.by_category) {
+        let name = format!("… of category {} (payoff {})", worth.name, worth.payoff);
+        row(&mut put, &name, format!("{:.4}", service.share()));
+    }
+    if outcome.by_caller.len() > 1 {
+        for (no, service) in outcome.by_caller.iter().enumerate() {
+            row(&mut put, &format!("… of caller {no}"), format!("{:.4}", service.share()));
+        }
+    }
+    row(&mut put, "Worst 10 s", format!("{:.4}", outcome.worst_window()));
+    let ends = [
+        ("Retrievals asked", outcome.retrievals),
+        ("Answered", outcome.answered),
+        ("Declined", outcome.declined),
+        ("Scrapped", outcome.scrapped),
+        ("Pushes", outcome.pushes),
+    ];
+    for (name, count) in ends {
+        row(&mut put, name, count.to_string());
+    }
+    for (name, quantile) in [("Latency, median", 0.5), ("Latency, p99", 0.99), ("Latency, most", 1.0)] {
+        row(&mut put, name, format!("{:.1} ms", outcome.latency_ms(quantile)));
+    }
+    row(
+        &mut put,
+        "Slowest decline, from when it was asked",
+        format!("{:.1} ms", outcome.slowest_decline.as_ms()),
+    );
+    put(format_args!("</table>"));
+    if outcome.broken.is_empty() {
+        put(format_args!("<p>No rule was broken, by what clients and hosts got.</p>"));
+    }
+    for (rule, told) in &outcome.broken {
+        let (rule, at) = (escape(rule), told.first.as_ms() / 1000.0);
+        put(format_args!(
+            "<p class=\"bad\">Rule broken: {rule} ({} times, first at {at:.1} s)</p>",
+            told.times
+        ));
+    }
+    for (name, svg) in plots(outcome)? {
+        put(format_args!("<h2>{}</h2>{svg}", escape(name)));
+    }
+    put(format_args!("<h2>Figures</h2><p><code>{}</code></p></html>\n", escape(&told.to_string())));
+    Ok(page)
+}
+
+/// Writes the page, and the figures beside it.
+pub fn write(path: &Path, outcome: &Outcome, told: &Value, title: &str) -> io::Result<()> {
+    let page = page(outcome, told, title).map_err(io::Error::other)?;
+    std::fs::write(path, page)?;
+    std::fs::write(path.with_extension("json"), format!("{told}\n"))
+}
--- /dev/null
+++ b/crates/lab/src/scene.rs
@@ -0,0 +1,162 @@
+//! What a plan becomes for brokers, hosts and the audit: the stated assumptions of a rehearsal, the same in virtual time
+//! and on sockets.
+
+use crate::audit::{Bounds, Kind};
+use crate::outcome::Worth;
+use crate::rehearse::Cast;
+use barleydrum::{
+    Category, CategoryNo, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules, Standing, Tenths,
+};
+use ledger_host::{Build, Host, State};
+use serde_json::{Value, json};
+use trace::plan::{Repeats, Staging};
+
+/// One way through the network, the least time between turns, and how late the roll tells of starts and deaths.
+pub const TRIP: Tenths = Tenths(5);
+pub const PERIOD: Tenths = Tenths(50);
+pub const ROLL_LATE: Tenths = Tenths(10_000);
+/// Goal time of all categories, and the longest that a caller is told to stay away.
+pub const GOAL: Tenths = Tenths(20_000);
+/// How long a push may still go to a node that the roll told to be draining or gone.
+const GRACE: Tenths = Tenths(2500);
+const ASK_WITHIN: Tenths = Tenths(100_000);
+const MOST_OPEN: u32 = 2000;
+const MOST_PUSHES: u32 = 3;
+/// Cells that hold a shard.
+const REACH: u32 = 2;
+
+fn effect(repeats: Repeats) -> (EffectKind, Tenths) {
+    match repeats {
+        Repeats::Reissuable => (EffectKind::Reissuable, Tenths::ZERO),
+        Repeats::Numbered(window) => (EffectKind::Numbered, Tenths::from_ms(f64::from(window))),
+        Repeats::AtMostOnce => (EffectKind::AtMostOnce, Tenths::ZERO),
+    }
+}
+
+fn cut_off(told: &trace::plan::Cast) -> Tenths {
+    Tenths::from_ms(f64::from(told.cut_off))
+}
+
+fn budget(staging: &Staging) -> Option<FurtherBudget> {
+    let budget = staging.budget?;
+    let window = Tenths::from_ms(f64::from(budget.window_ms));
+    Some(FurtherBudget { floor: budget.few, share: budget.share, window })
+}
+
+pub fn build(cast: &Cast) -> Build {
+    Build { cores: cast.cores, ..Build::default() }
+}
+
+/// One that runs since long ago.
+pub fn warm_host(cast: &Cast) -> Host {
+    Host::new(build(cast), None)
+}
+
+/// One without a process.
+pub fn dead_host(cast: &Cast) -> Host {
+    let mut host = warm_host(cast);
+    host.die();
+    host
+}
+
+pub fn standing(state: State) -> Standing {
+    match state {
+        State::Ready => Standing::Ready,
+        State::Draining => Standing::Draining,
+        State::Dead => Standing::Gone,
+    }
+}
+
+pub fn prescription(staging: &Staging, cast: &Cast) -> Prescription {
+    let category = |(no, told): (usize, &trace::plan::Cast)| {
+        let (effect, repeat_window) = effect(told.repeats);
+        let category = Category {
+            goal_time: GOAL.min(cut_off(told)),
+            cut_off: cut_off(told),
+            payoff: told.payoff,
+            least_share: told.least,
+            whole_from: 1.0,
+            effect,
+            repeat_window,
+            ..Category::default()
+        };
+        (CategoryNo(no as u16), category)
+    };
+    let build = build(cast);
+    Prescription {
+        brokers: cast.brokers,
+        period: PERIOD,
+        send_lag: TRIP,
+        categories: staging.categories.iter().enumerate().map(category).collect(),
+        layout: Layout { cells: cast.cells, reach: REACH, shards: staging.shards, per_call: 1 },
+        limits: Limits {
+            most_open: MOST_OPEN,
+            most_pushes: MOST_PUSHES,
+            copies: true,
+            may_withdraw: true,
+            stay_away: true,
+            longest_stay_away: GOAL,
+        },
+        rules: Rules {
+            cold_share: build.cold_share,
+            warm_after: build.warm_after,
+            fall_multiple: build.fall_multiple,
+            fall_window: build.fall_window,
+            ask_within: ASK_WITHIN,
+            further: budget(staging),
+        },
+        ..Prescription::default()
+    }
+}
+
+/// The same as the platform's settings, for brokers on sockets.
+pub fn settings(staging: &Staging, cast: &Cast) -> Value {
+    let service = |told: &trace::plan::Cast| {
+        let (kind, window) = effect(told.repeats);
+        let word = match kind {
+            EffectKind::Reissuable => "idempotent",
+            EffectKind::Numbered => "deduplicated",
+            EffectKind::AtMostOnce => "at_most_once",
+        };
+        json!({"Name": told.name, "OnTimeMs": GOAL.min(cut_off(told)).as_ms(), "DeadlineMs": told.cut_off,
+            "Worth": told.payoff, "LateShare": 0.0, "Effect": word, "DedupWindowMs": window.as_ms()})
+    };
+    let services: Vec<Value> = staging.categories.iter().map(service).collect();
+    let all =
+        |value: fn(&trace::plan::Cast) -> f64| staging.categories.iter().map(value).collect::<Vec<f64>>();
+    let build = build(cast);
+    let mut rules = json!({"AskWithinMs": ASK_WITHIN.as_ms(), "ColdFrom": build.cold_share,
+        "WarmUpMs": build.warm_after.as_ms(), "OverloadFactor": build.fall_multiple,
+        "OverloadForMs": build.fall_window.as_ms()});
+    if let Some(budget) = staging.budget {
+        rules["ExtraFloor"] = json!(budget.few);
+        rules["ResendRatio"] = json!(budget.share);
+        rules["BudgetWindowMs"] = json!(budget.window_ms);
+    }
+    json!({"Instances": cast.brokers, "PeriodMs": PERIOD.as_ms(), "RegistryMode": "automatic", "Areas": ["hall"],
+        "Zone": 0, "Tenants": [], "Prices": {"LateFail": 0.0}, "Services": services,
+        "Domain": {"Cells": cast.cells, "Reach": REACH, "Ranges": staging.shards, "PerCall": 1,
+            "CompleteFrom": all(|_| 1.0), "MinShare": all(|told| told.least), "FetchParts": vec![0; staging.categories.len()]},
+        "Limits": {"ConnIdleMs": 600_000.0, "ConnectTimeoutMs": 1000.0, "MaxAttempts": MOST_PUSHES,
+            "MaxOpen": MOST_OPEN, "MayCancel": true, "SecondCopies": true, "StreamsPerConn": 64, "RetryAfter": true,
+            "MaxRetryAfterMs": GOAL.as_ms()},
+        "Rules": rules})
+}
+
+pub fn bounds(staging: &Staging, slack: Tenths) -> Bounds {
+    let kind = |told: &trace::plan::Cast| {
+        let (effect, repeat_window) = effect(told.repeats);
+        Kind { cut_off: cut_off(told), least: told.least, effect, repeat_window }
+    };
+    let kinds = staging.categories.iter().map(kind).collect();
+    Bounds { kinds, budget: budget(staging), grace: GRACE, slack }
+}
+
+pub fn worth(staging: &Staging) -> Vec<Worth> {
+    let worth = |told: &trace::plan::Cast| Worth {
+        name: told.name.clone(),
+        payoff: told.payoff,
+        goal: GOAL.min(cut_off(told)),
+    };
+    staging.categories.iter().map(worth).collect()
+}
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -1,14 +1,21 @@
-//! `trace check`: reads trace files, and says what of them can be used. `trace plan`: what they become. Exit codes: 0 every row, 1 some were rejected
-//! or the policy ended it, 2 a mistake in the words or a file that can't be begun.
+//! `trace check`: reads trace files, and says what of them can be used. `trace plan`: what they become. `trace run`: how
+//! it goes. Exit codes: 0 every row, or no rule broken; 1 some were rejected, the policy ended it, or a rule was broken;
+//! 2 a mistake in the words or a file that can't be begun; 3 no figure, as the machine was too busy; 4 interrupted.
 
+use crate::outcome::Outcome;
 use crate::rehearse::{self, Mind, World};
+use crate::{loopback, report};
+use barleydrum::Tenths;
 use clap::Args;
+use indicatif::{ProgressBar, ProgressStyle};
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
-use trace::plan::{Cast, Plan, Planner, Staging};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use trace::plan::{Budget, Cast, Plan, Planner, Repeats, Staging};
 use trace::{
     LAYOUTS, Layout, Ledger, Order, Policy, Reader, Reason, Row, Sorted, Stop, Verdict, Window, layout,
 };
@@ -84,61 +91,78 @@
 }
 
 /// The window, and what is assumed beside the trace.
-#[derive(Args)]
+#[derive(Args, Clone)]
 pub struct Planned {
     #[arg(required = true)]
-    files: Vec<PathBuf>,
+    pub files: Vec<PathBuf>,
     /// The layout, where a file's name does not tell.
     #[arg(long)]
-    layout: Option<String>,
+    pub layout: Option<String>,
     /// Rejected rows, as for `check`.
     #[arg(long, default_value = "count")]
-    tolerate: Tolerance,
+    pub tolerate: Tolerance,
     /// The window, in seconds of the trace's clock.
     #[arg(long, default_value_t = 0.0)]
-    from: f64,
+    pub from: f64,
     #[arg(long)]
-    to: f64,
+    pub to: f64,
     #[arg(long, default_value_t = 1)]
-    seed: u64,
+    pub seed: u64,
     /// One second of the trace takes so many of the rehearsal.
     #[arg(long, default_value_t = 1.0)]
-    stretch: f64,
+    pub stretch: f64,
     /// The share of jobs that are in.
     #[arg(long, default_value_t = 1.0)]
-    sample: f64,
+    pub sample: f64,
     /// Work offered, as a share of what the hosts can do.
     #[arg(long, default_value_t = 0.5)]
-    load: f64,
+    pub load: f64,
     #[arg(long, default_value_t = 12)]
-    hosts: u32,
+    pub hosts: u32,
     /// Milliseconds of work that one host does in a second.
     #[arg(long, default_value_t = 4000.0)]
-    host_ms_per_s: f64,
+    pub host_ms_per_s: f64,
     #[arg(long, default_value_t = 36)]
-    shards: u32,
+    pub shards: u32,
     /// The share of removed machines that drain first.
     #[arg(long, default_value_t = 0.5)]
-    drains: f64,
+    pub drains: f64,
+    /// Beside retrievals that may run again, a numbered and an at-most-once category.
+    #[arg(long)]
+    pub effects: bool,
+    /// A stated budget for further pushes: three, and this share of what was taken, in any five seconds.
+    #[arg(long)]
+    pub budget: Option<f64>,
     /// The digest and the counts alone.
     #[arg(long)]
-    brief: bool,
+    pub brief: bool,
 }
 
 /// Entries that a plan may have: some hundred megabytes.
 const MOST_ENTRIES: usize = 2_000_000;
 
 impl Planned {
-    fn staging(&self) -> Staging {
+    pub fn staging(&self) -> Staging {
         let micros = |seconds: f64| (seconds.max(0.0) * 1e6) as u64;
-        let cast = |name: &str, share, parts, skew| Cast {
+        let widest = self.shards.max(1);
+        let cast = |name: &str, share, payoff, least, repeats| Cast {
             name: name.to_owned(),
             share,
-            parts,
-            skew,
+            parts: if least < 1.0 { (widest.div_ceil(2), widest) } else { (1, widest.min(4)) },
+            skew: if least < 1.0 { 1.0 } else { 0.0 },
             cut_off: 5000,
+            payoff,
+            least,
+            repeats,
         };
-        let widest = self.shards.max(1);
+        let mut categories = vec![
+            cast("report", 1.0, 3.0, 0.4, Repeats::Reissuable),
+            cast("lookup", 3.0, 1.0, 1.0, Repeats::Reissuable),
+        ];
+        if self.effects {
+            categories.push(cast("booking", 1.0, 1.0, 1.0, Repeats::Numbered(1000)));
+            categories.push(cast("dispensing", 1.0, 1.0, 1.0, Repeats::AtMostOnce));
+        }
         Staging {
             seed: self.seed,
             from: micros(self.from),
@@ -149,83 +173,180 @@
             hosts: self.hosts,
             host_ms_per_s: self.host_ms_per_s,
             shards: self.shards,
-            categories: vec![
-                cast("report", 1.0, (widest.div_ceil(2), widest), 1.0),
-                cast("lookup", 3.0, (1, widest.min(4)), 0.0),
-            ],
+            categories,
             callers: vec![1.0],
             drains: self.drains,
             drain_for: 20_000,
+            budget: self.budget.map(|share| Budget { few: 3.0, share, window_ms: 5000 }),
             most: MOST_ENTRIES,
         }
     }
 }
 
 /// A plan, and who plays it.
-#[derive(Args)]
+#[derive(Args, Clone)]
 pub struct Played {
     #[command(flatten)]
-    planned: Planned,
+    pub planned: Planned,
     #[arg(long, default_value_t = 3)]
-    brokers: u32,
+    pub brokers: u32,
     /// Cells of hosts; each shard is held by two.
     #[arg(long, default_value_t = 6)]
-    cells: u32,
+    pub cells: u32,
     /// Cores of a host.
     #[arg(long, default_value_t = 4)]
-    cores: usize,
-    /// Who decides: the module, or each part at random.
+    pub cores: usize,
+    /// Who decides: the module, or a baseline.
     #[arg(long, default_value = "module")]
-    mind: Mind,
+    pub mind: Mind,
+    /// The brokers on sockets, with hosts, discovery and clients on loopback, in place of the module in virtual time.
+    #[arg(long)]
+    pub loopback: bool,
+    /// Leave a page of plots here (HTML that needs nothing else), and the figures beside it as JSON.
+    #[arg(long, value_name = "FILE")]
+    pub report: Option<PathBuf>,
     /// One JSON object for scripts.
     #[arg(long)]
-    json: bool,
+    pub json: bool,
+}
+
+const BUSY: u8 = 3;
+const INTERRUPTED: u8 = 4;
+
+/// Set when the user breaks off (SIGINT): what was played by then is told as partial.
+fn interruption() -> Arc<AtomicBool> {
+    let flag = Arc::new(AtomicBool::new(false));
+    // Where it can't be listened for, the process ends as it would have.
+    let _ = signal_hook::flag::register(signal_hook::consts::SIGINT, flag.clone());
+    flag
+}
+
+/// A bar on standard error, where that is a terminal; it moves once for each second of the day.
+fn progress(last: Tenths) -> ProgressBar {
+    let bar = ProgressBar::new((last.0 / 10_000).max(1) as u64);
+    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} s of the day, {elapsed} {msg}");
+    bar.with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+/// Plays a plan to its end, or until it is broken off.
+pub fn play(plan: Plan, played: &Played) -> Result<Outcome, loopback::NoFigure> {
+    let Played { planned, brokers, cells, cores, mind, .. } = played;
+    let cast = rehearse::Cast {
+        brokers: (*brokers).max(1),
+        mind: *mind,
+        seed: planned.seed,
+        cells: (*cells).clamp(1, planned.hosts.max(1)),
+        cores: (*cores).max(1),
+    };
+    let (stop, last) = (interruption(), plan.entries.last().map_or(0, |entry| entry.at));
+    let bar = progress(Tenths(last as i64));
+    let going_on = |now: Tenths, _| {
+        bar.set_position((now.0 / 10_000) as u64);
+        !stop.load(Ordering::Relaxed)
+    };
+    let outcome = match played.loopback {
+        true => loopback::play(plan, &planned.staging(), cast, going_on),
+        false => Ok(World::new(plan, &planned.staging(), cast).play(going_on)),
+    };
+    bar.finish_and_clear();
+    outcome
 }
 
 pub fn run(played: &Played) -> ExitCode {
-    let Played { planned, brokers, cells, cores, mind, json } = played;
-    let (brokers, cells) = ((*brokers).max(1), (*cells).clamp(1, planned.hosts.max(1)));
-    let (plan, rejected) = match make_plan(planned) {
-        Ok(made) => made,
+    match make_plan(&played.planned) {
+        Ok((plan, rejected)) => run_plan(plan, rejected, played),
         Err((why, code)) => {
             eprintln!("barleydrum-lab: {why}");
-            return ExitCode::from(code);
+            ExitCode::from(code)
+        }
+    }
+}
+
+/// Plays a plan, and tells how it went.
+pub fn run_plan(plan: Plan, rejected: u64, played: &Played) -> ExitCode {
+    if played.loopback && played.mind != Mind::Module {
+        eprintln!("barleydrum-lab: on loopback the broker plays, which has the module: no --mind there");
+        return ExitCode::from(2);
+    }
+    let plan_digest = plan.digest();
+    let outcome = match play(plan, played) {
+        Ok(outcome) => outcome,
+        Err(why) => {
+            eprintln!("barleydrum-lab: no figure: {why}");
+            return ExitCode::from(BUSY);
         }
     };
-    let (plan_digest, seed) = (plan.digest(), planned.seed);
-    let cast = rehearse::Cast { brokers, mind: *mind, seed, cells, cores: (*cores).max(1) };
-    let outcome = World::new(plan, &planned.staging(), cast).play();
     let mut told = outcome.json();
-    (told["plan"], told["rejected_rows"], told["simulated"]) =
-        (json!(plan_digest), json!(rejected), json!(true));
-    if *json {
+    (told["plan"], told["rejected_rows"], told["seed"]) =
+        (json!(plan_digest), json!(rejected), json!(played.planned.seed));
+    told["played"] = json!(if played.loopback { "on loopback sockets" } else { "in virtual time" });
+    told["simulated"] = json!(true);
+    if played.json {
         println!("{told}");
     } else {
-        println!("simulated: {brokers} brokers, {} hosts in {cells} cells, seed {seed}", planned.hosts);
+        print_run(&outcome, &told, played);
+    }
+    if let Some(path) = &played.report
+        && let Err(why) = report::write(path, &outcome, &told, &title(played))
+    {
+        eprintln!("barleydrum-lab: {}: {why}", path.display());
+        return ExitCode::from(2);
+    }
+    match outcome.stopped_at {
+        Some(_) => ExitCode::from(INTERRUPTED),
+        // The module must keep the rules; a baseline is what it is.
+        None if outcome.broken.is_empty() || played.mind != Mind::Module => ExitCode::SUCCESS,
+        None => ExitCode::from(1),
+    }
+}
+
+fn title(played: &Played) -> String {
+    let place = if played.loopback { "on loopback sockets" } else { "in virtual time" };
+    format!(
+        "simulated: {} brokers, {} hosts in {} cells, load {}, seed {}, {place}, {:?}",
+        played.brokers,
+        played.planned.hosts,
+        played.cells,
+        played.planned.load,
+        played.planned.seed,
+        played.mind
+    )
+}
+
+fn print_run(outcome: &Outcome, told: &Value, played: &Played) {
+    println!("{}", title(played));
+    if let Some(at) = outcome.stopped_at {
         println!(
-            "service            {:.4} (payoff answered within the goal time over payoff asked for)",
-            outcome.service.share()
+            "PARTIAL            broken off at {:.1} s: figures are of what was played",
+            at.as_ms() / 1000.0
+        );
+    }
+    println!(
+        "service            {:.4} (payoff answered within the goal time over payoff asked for)",
+        outcome.service.share()
+    );
+    println!("worst 10 s         {:.4}", outcome.worst_window());
+    for key in [
+        "by_category",
+        "retrievals",
+        "answered",
+        "declined",
+        "slowest_decline_ms",
+        "scrapped",
+        "pushes",
+        "latency_ms",
+        "plan",
+        "digest",
+    ] {
+        println!("{key:<18} {}", told[key]);
+    }
+    for (rule, told) in &outcome.broken {
+        println!(
+            "RULE BROKEN        {rule} ({} times, first at {:.1} s)",
+            told.times,
+            told.first.as_ms() / 1000.0
         );
-        println!("worst 10 s         {:.4}", outcome.worst_window());
-        for key in [
-            "by_category",
-            "retrievals",
-            "answered",
-            "declined",
-            "scrapped",
-            "pushes",
-            "latency_ms",
-            "plan",
-            "digest",
-        ] {
-            println!("{key:<18} {}", told[key]);
-        }
-        for (rule, times) in &outcome.broken {
-            println!("RULE BROKEN        {rule} ({times} times)");
-        }
     }
-    // The module must keep the rules; a baseline is what it is.
-    if outcome.broken.is_empty() || *mind == Mind::Random { ExitCode::SUCCESS } else { ExitCode::from(1) }
 }
 
 pub fn plan(planned: &Planned) -> ExitCode {
@@ -260,14 +381,12 @@
 
 fn print_plan(planned: &Planned, plan: &Plan, rejected: u64) {
     let staging = planned.staging();
-    println!(
-        "# assumed, of which the trace has nothing: {} shards; weights, parts and cut-offs by category:",
-        staging.shards
-    );
+    println!("# assumed, of which the trace has nothing: {} shards; by category:", staging.shards);
     for (no, cast) in staging.categories.iter().enumerate() {
-        let Cast { name, share, parts, skew, cut_off } = cast;
+        let Cast { name, share, parts, skew, cut_off, payoff, least, repeats } = cast;
         println!(
-            "#   {no} {name}: share {share}, parts {} to {}, skew {skew}, cut-off {cut_off} ms",
+            "#   {no} {name}: share {share}, parts {} to {}, skew {skew}, cut-off {cut_off} ms, payoff {payoff}, \
+             least share {least}, {repeats}",
             parts.0, parts.1
         );
     }
@@ -298,9 +417,33 @@
     file: &Path,
     layout: &'static Layout,
     policy: Policy,
-    mut taken: impl FnMut(&Row) -> Result<(), String>,
+    taken: impl FnMut(&Row) -> Result<(), String>,
 ) -> Result<Checked, String> {
     let reader = Reader::open(layout, file).map_err(|e| e.to_string())?;
+    read_all(reader, layout, policy, taken)
+}
+
+/// Puts all rows of a reader into a plan.
+pub fn take_rows(
+    reader: Reader,
+    layout: &'static Layout,
+    policy: Policy,
+    planner: &mut Planner,
+) -> Result<u64, String> {
+    let checked = read_all(reader, layout, policy, |row| planner.take(row).map_err(|e| e.to_string()))?;
+    match checked.stop {
+        Some(Stop::First(rejected)) => Err(rejected.to_string()),
+        Some(Stop::Share { rejected, lines }) => Err(format!("{rejected} of {lines} lines were rejected")),
+        None => Ok(checked.ledger.rejected_count()),
+    }
+}
+
+fn read_all(
+    reader: Reader,
+    layout: &'static Layout,
+    policy: Policy,
+    mut taken: impl FnMut(&Row) -> Result<(), String>,
+) -> Result<Checked, String> {
     let mut order = Order::new(Window::default());
     let machines_told =
         layout.columns.iter().all(|column| column.3 != trace::Role::Job) && layout.sorted == Sorted::ByTime;
--- a/crates/trace/src/plan.rs
+++ b/crates/trace/src/plan.rs
@@ -33,6 +33,8 @@
     pub drains: f64,
     /// Tenths of a millisecond from a drain to the host's end.
     pub drain_for: u64,
+    /// None: none is stated.
+    pub budget: Option<Budget>,
     /// Entries at the most.
     pub most: usize,
 }
@@ -49,6 +51,38 @@
     pub skew: f64,
     /// Milliseconds.
     pub cut_off: u32,
+    pub payoff: f64,
+    /// The least share of the weight that an answer may hold.
+    pub least: f64,
+    pub repeats: Repeats,
+}
+
+/// What a repeat of a part would do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Repeats {
+    Reissuable,
+    /// Dropped for so many milliseconds from the first that may have run.
+    Numbered(u32),
+    AtMostOnce,
+}
+
+impl fmt::Display for Repeats {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Repeats::Reissuable => f.write_str("reissuable"),
+            Repeats::Numbered(window) => write!(f, "numbered, repeats dropped for {window} ms"),
+            Repeats::AtMostOnce => f.write_str("at-most-once"),
+        }
+    }
+}
+
+/// A stated budget for pushes beyond a part's first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Budget {
+    pub few: f64,
+    /// Of the retrievals and parts taken in the window.
+    pub share: f64,
+    pub window_ms: u32,
 }
 
 /// One thing that happens in a rehearsal.
--- a/crates/trace/tests/plans.rs
+++ b/crates/trace/tests/plans.rs
@@ -1,14 +1,22 @@
 //! What rows become: windows, samples, scales, hosts; and that it is the same each time.
 
 use rstest::rstest;
-use trace::plan::{Cast, Happens, HostEvent, NoPlan, Plan, Planner, Staging};
+use trace::plan::{Cast, Happens, HostEvent, NoPlan, Plan, Planner, Repeats, Staging};
 use trace::{Id, MachineEvent, Row, What, WorkEvent};
 
 const SECOND: u64 = 1_000_000;
 
 fn staging() -> Staging {
-    let cast =
-        |name: &str, share, parts| Cast { name: name.to_owned(), share, parts, skew: 1.0, cut_off: 5000 };
+    let cast = |name: &str, share, parts| Cast {
+        name: name.to_owned(),
+        share,
+        parts,
+        skew: 1.0,
+        cut_off: 5000,
+        payoff: 1.0,
+        least: 1.0,
+        repeats: Repeats::Reissuable,
+    };
     Staging {
         seed: 7,
         from: 100 * SECOND,
@@ -23,6 +31,7 @@
         callers: vec![1.0, 2.0],
         drains: 0.0,
         drain_for: 5000,
+        budget: None,
         most: 10_000,
     }
 }
