--- a/crates/broker/src/command.rs
+++ b/crates/broker/src/command.rs
@@ -1,5 +1,5 @@
-//! The command line. Exit codes: 0 done; 1 the broker can't serve; 2 a mistake in the words, or in a file that was
-//! checked; 3 a broker could not be asked.
+//! The command line. Exit codes: 0 done; 1 the broker can't serve; 2 a mistake in the words, or in a file
+//! that was checked; 3 a broker could not be asked.
 
 use crate::{Source, serve, versions};
 use clap::{Parser, Subcommand};
@@ -46,7 +46,8 @@
         #[arg(long, value_name = "FILE")]
         operator: Option<PathBuf>,
     },
-    /// List every mistake in a file, and start nothing: a broker's file, a version's document, or an operator's file.
+    /// List every mistake in a file, and start nothing: a broker's file, a version's document, or an
+    /// operator's file.
     Check {
         /// The file; one that ends in .ini is an operator's.
         file: PathBuf,
--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -227,8 +227,8 @@
         self.book.borrow().retrievals.len()
     }
 
-    /// Pushes that are out: the node's address and the id that the wire knows the part by, in order. Who rehearses
-    /// a day holds them against what the nodes have, to tell whether anything is under way.
+    /// Pushes that are out: the node's address and the id that the wire knows the part by, in order. Who
+    /// rehearses a day holds them against what the nodes have, to tell whether anything is under way.
     pub fn pushes_out(&self) -> Vec<(SocketAddr, Bytes)> {
         self.nodes.out()
     }
--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -349,8 +349,8 @@
         first.inspect(|line| line.end(None)).is_some()
     }
 
-    /// Guards against callers that ask once and keep their connection: they may hold only so many to a broker,
-    /// and ask no more of it once these are used up.
+    /// Guards against callers that ask once and keep their connection: they may hold only so many to a
+    /// broker, and ask no more of it once these are used up.
     fn keep_few(&self) {
         let lines = self.lines.borrow();
         let kept = || lines.iter().filter(|line| line.served.get() && line.is_idle());
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -92,8 +92,8 @@
     Ok(Running { listens, desk, discovery, status, front, limits })
 }
 
-/// The program: bare, it starts as the environment says and serves until told to leave; with arguments, as the
-/// command line says.
+/// The program: bare, it starts as the environment says and serves until told to leave; with arguments, as
+/// the command line says.
 pub fn run() -> ExitCode {
     match std::env::args_os().len() {
         0 | 1 => serve(&Source::default(), Fitting::default()),
--- a/crates/broker/src/versions.rs
+++ b/crates/broker/src/versions.rs
@@ -1,5 +1,6 @@
-//! Versions from a control service, brought to the desk. The streams, the checks and the file live on a thread
-//! beside the broker's; here, on the broker's own, a version is taken over in one step between two turns.
+//! Versions from a control service, brought to the desk. The streams, the checks and the file live on a
+//! thread beside the broker's; here, on the broker's own, a version is taken over in one step between two
+//! turns.
 
 use crate::Order;
 use crate::desk::Desk;
@@ -121,8 +122,8 @@
     }
 }
 
-/// Does at the desk what is asked. What is shown changes in the same step as what is taken under: nobody can see
-/// one without the other.
+/// Does at the desk what is asked. What is shown changes in the same step as what is taken under: nobody can
+/// see one without the other.
 async fn sit(desk: Rc<Desk>, start: Prescription, mut heard: mpsc::Receiver<Word>, shown: Arc<Shown>) {
     while let Some(word) = heard.recv().await {
         match word {
--- a/crates/broker/tests/control/main.rs
+++ b/crates/broker/tests/control/main.rs
@@ -20,8 +20,9 @@
     document(number).to_string().into_bytes()
 }
 
-/// Three brokers, a service that drops, delays, repeats, reorders and garbles by seed, retrievals all the while: at
-/// each look from outside the report is what decides, all come to the newest, and each retrieval has one answer.
+/// Three brokers, a service that drops, delays, repeats, reorders and garbles by seed, retrievals all the
+/// while: at each look from outside the report is what decides, all come to the newest, and each retrieval
+/// has one answer.
 #[rstest]
 #[case(1)]
 #[case(2)]
@@ -111,8 +112,8 @@
     assert_eq!(nonces.len(), all);
 }
 
-/// One that passes its checks and makes answers fail: the last confirmed one is put back within seconds, told to the
-/// service and to whoever asks, and not taken again. What was open has its answer all the while.
+/// One that passes its checks and makes answers fail: the last confirmed one is put back within seconds, told
+/// to the service and to whoever asks, and not taken again. What was open has its answer all the while.
 #[rstest]
 fn withdraws_a_version_that_makes_answers_fail() {
     let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
@@ -160,8 +161,8 @@
     wait_until("the fourth is taken", || broker.told().number == 4);
 }
 
-/// Killed and started anew with no service to be had, a broker goes on with what it kept; a torn file is named and
-/// passed over.
+/// Killed and started anew with no service to be had, a broker goes on with what it kept; a torn file is
+/// named and passed over.
 #[rstest]
 fn goes_on_with_the_last_good_version() {
     let mut service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
@@ -262,8 +263,8 @@
     wait_until("the next is taken", || broker.told().number == 2);
 }
 
-/// A version that strikes a category, and a cell, with retrievals of them open: those go on by what they were taken
-/// under, and new ones are told that there is no such category.
+/// A version that strikes a category, and a cell, with retrievals of them open: those go on by what they were
+/// taken under, and new ones are told that there is no such category.
 #[rstest]
 fn strikes_a_category_with_retrievals_open() {
     let service = StandIn::start(ANY_PORT, Troubles::default()).unwrap();
--- a/crates/broker/tests/control/party.rs
+++ b/crates/broker/tests/control/party.rs
@@ -1,5 +1,5 @@
-//! Who takes part: the program as processes, nodes that answer at once, clients, and documents that can be told
-//! apart from outside.
+//! Who takes part: the program as processes, nodes that answer at once, clients, and documents that can be
+//! told apart from outside.
 
 use control_client::csds::{Told, ask};
 use ledger_host::Build;
@@ -29,8 +29,8 @@
     Served::start(Build::default(), |_, _| 100).unwrap()
 }
 
-/// Version `number`: its shards and its time to stay away tell it from every other. Even shards lie in cell 0, odd
-/// ones in cell 1, which no node is in.
+/// Version `number`: its shards and its time to stay away tell it from every other. Even shards lie in cell
+/// 0, odd ones in cell 1, which no node is in.
 pub fn document(number: u64) -> Value {
     let category = |name: &str, goal: f64| json!({"Name": name, "OnTimeMs": goal, "DeadlineMs": 5000.0, "Worth": 1.0, "Effect": "idempotent"});
     json!({"Instances": 3, "PeriodMs": 5.0, "RegistryMode": "automatic", "Areas": ["hall"], "Tenants": [],
@@ -188,9 +188,9 @@
         Reply { status, stay_away }
     }
 
-    /// By which version the module declines a retrieval that none can serve: what it tells of the time to stay away.
-    /// The shard is the last that version `least` has, so that an older one would not let it in. None: the broker
-    /// does not know the shard, and so runs an older one.
+    /// By which version the module declines a retrieval that none can serve: what it tells of the time to
+    /// stay away. The shard is the last that version `least` has, so that an older one would not let it in.
+    /// None: the broker does not know the shard, and so runs an older one.
     pub fn probe(&mut self, least: u64) -> Option<u64> {
         let Reply { status, stay_away } = self.ask("probe", 31 + 2 * least);
         if status == 400 {
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -163,8 +163,8 @@
     });
 }
 
-/// What can't be told apart any more is given up with all that is out beside it, and had elsewhere: nothing that
-/// may be cut or swollen is passed on, and nothing waits for its time-out.
+/// What can't be told apart any more is given up with all that is out beside it, and had elsewhere: nothing
+/// that may be cut or swollen is passed on, and nothing waits for its time-out.
 #[rstest]
 #[case::not_a_length(framed(b"", 0))]
 #[case::a_length_that_promises_more(framed(b"5a.3 S 7 -\nbad", 40))]
@@ -197,8 +197,8 @@
     });
 }
 
-/// A connection on which nothing came for long enough after a call gets no more: the next call goes on another,
-/// and what comes on the first all the same still counts.
+/// A connection on which nothing came for long enough after a call gets no more: the next call goes on
+/// another, and what comes on the first all the same still counts.
 #[rstest]
 fn puts_nothing_more_on_a_connection_that_fell_silent() {
     play(async {
@@ -509,8 +509,8 @@
     });
 }
 
-/// A client that says nothing, or is slow with its head or its body, is let go in time; one that is idle after
-/// an answer is not.
+/// A client that says nothing, or is slow with its head or its body, is let go in time; one that is idle
+/// after an answer is not.
 #[rstest]
 fn lets_slow_clients_go() {
     play(async {
--- a/crates/control-client/src/csds.rs
+++ b/crates/control-client/src/csds.rs
@@ -1,5 +1,5 @@
-//! The client status service (CSDS), served by the broker itself: what it truly runs. And the asking side, for the
-//! command line.
+//! The client status service (CSDS), served by the broker itself: what it truly runs. And the asking side,
+//! for the command line.
 
 use crate::follow::Shown;
 use crate::wire::TYPE_URL;
--- a/crates/control-client/src/follow.rs
+++ b/crates/control-client/src/follow.rs
@@ -1,5 +1,5 @@
-//! The loop that carries out: streams in, wake-ups, counts; effects out. It waits for the broker's word on each
-//! prescription before it answers a service, so that no answer runs ahead of what is applied.
+//! The loop that carries out: streams in, wake-ups, counts; effects out. It waits for the broker's word on
+//! each prescription before it answers a service, so that no answer runs ahead of what is applied.
 
 use crate::shelf::{Restored, Shelf};
 use crate::wire::{self, Kept, MOST_ON_WIRE, Version};
@@ -32,7 +32,8 @@
     fn prescribe(&mut self, version: VersionId, intake: Intake) -> impl Future<Output = ()>;
     /// The same contents have another number.
     fn relabel(&mut self, version: VersionId) -> impl Future<Output = ()>;
-    /// How what was taken under the running prescription ended, since it was taken over. None: the broker is gone.
+    /// How what was taken under the running prescription ended, since it was taken over. None: the broker is
+    /// gone.
     fn count(&mut self) -> impl Future<Output = Option<Sample>>;
 }
 
@@ -269,7 +270,8 @@
         }
     }
 
-    /// Writes on a thread for that: a slow disk holds up neither the broker nor its status. Whether it was written.
+    /// Writes on a thread for that: a slow disk holds up neither the broker nor its status. Whether it was
+    /// written.
     async fn write_down(&self) -> bool {
         let Some(path) = self.post.keep.clone() else { return false };
         let confirmed = &self.shelf.confirmed;
--- a/crates/control-client/src/keep.rs
+++ b/crates/control-client/src/keep.rs
@@ -1,5 +1,6 @@
-//! The last good version, and what else must outlast the process, in one file. It is replaced as a whole, so that at any moment the file is the old one or
-//! the new one; what is torn or foreign is told as such, and never taken for a version.
+//! The last good version, and what else must outlast the process, in one file. It is replaced as a whole, so
+//! that at any moment the file is the old one or the new one; what is torn or foreign is told as such, and
+//! never taken for a version.
 
 use crate::wire::Kept;
 use prost::Message;
@@ -28,8 +29,8 @@
     Torn(&'static str),
 }
 
-/// Writes the version beside the file, makes sure of it on the disk, puts it in the file's place, and makes sure of
-/// the folder. A crash at any point leaves the old file or the new.
+/// Writes the version beside the file, makes sure of it on the disk, puts it in the file's place, and makes
+/// sure of the folder. A crash at any point leaves the old file or the new.
 pub fn write(path: &Path, kept: &Kept) -> io::Result<()> {
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
     let body = kept.encode_to_vec();
--- a/crates/control-client/src/shelf.rs
+++ b/crates/control-client/src/shelf.rs
@@ -1,5 +1,5 @@
-//! The contents of versions that the broker may need: the one offered, the one that runs, the one that was last
-//! confirmed. It turns documents into what the broker takes over, and decides nothing.
+//! The contents of versions that the broker may need: the one offered, the one that runs, the one that was
+//! last confirmed. It turns documents into what the broker takes over, and decides nothing.
 
 use crate::keep;
 use crate::wire::{Kept, Version};
--- a/crates/control-client/src/wire.rs
+++ b/crates/control-client/src/wire.rs
@@ -1,5 +1,5 @@
-//! The project's own resource in xDS's transport, and how a response is read. A version's number stands in the
-//! response's `version_info` too, so that operators of other proxies see it where they look for it.
+//! The project's own resource in xDS's transport, and how a response is read. A version's number stands in
+//! the response's `version_info` too, so that operators of other proxies see it where they look for it.
 
 use control::{Digest, Memory, Offer, VersionId};
 use envoy_types::pb::envoy::service::discovery::v3::{DiscoveryRequest, DiscoveryResponse};
@@ -11,8 +11,8 @@
 /// The resource type: `barleydrum.control.v1.Version`.
 pub const TYPE_URL: &str = "type.googleapis.com/barleydrum.control.v1.Version";
 
-/// The largest response that is read off the wire at all; above it the stream ends. It is far above the bound of
-/// a document, so that one that is too long can be turned down with a reason.
+/// The largest response that is read off the wire at all; above it the stream ends. It is far above the bound
+/// of a document, so that one that is too long can be turned down with a reason.
 pub const MOST_ON_WIRE: usize = 16 << 20;
 
 /// One version, as `docs/control.proto` describes it.
--- a/crates/control-stand-in/src/lib.rs
+++ b/crates/control-stand-in/src/lib.rs
@@ -1,8 +1,9 @@
-//! A control service on loopback for tests and rehearsals: it serves numbered versions by xDS's transport, and has
-//! the troubles of real ones, drawn by seed: it drops streams, is late, repeats itself, sends an older version
-//! first, sends broken ones, vanishes, and comes back with another history.
+//! A control service on loopback for tests and rehearsals: it serves numbered versions by xDS's transport,
+//! and has the troubles of real ones, drawn by seed: it drops streams, is late, repeats itself, sends an
+//! older version first, sends broken ones, vanishes, and comes back with another history.
 //!
-//! It runs on a thread of its own, so that a broker under test on another can't hold it up, nor it the broker.
+//! It runs on a thread of its own, so that a broker under test on another can't hold it up, nor it the
+//! broker.
 
 use control_client::wire::{TYPE_URL, Version};
 use envoy_types::pb::envoy::service::discovery::v3::aggregated_discovery_service_server::{
@@ -98,8 +99,8 @@
         Ok(stand_in)
     }
 
-    /// Serves this document under this number from now on, whatever was before: a lower number, or another document
-    /// under a known one, is a history that was lost or forked.
+    /// Serves this document under this number from now on, whatever was before: a lower number, or another
+    /// document under a known one, is a history that was lost or forked.
     pub fn publish(&self, number: u64, installation: &str, document: &[u8]) {
         let version = Version::of(number, installation, document).unwrap_or(Version {
             number,
--- a/crates/control-stand-in/src/main.rs
+++ b/crates/control-stand-in/src/main.rs
@@ -1,5 +1,5 @@
-//! The stand-in as a program: serves the versions of a folder (`1.json`, `2.json`, ...), looks for new ones, and
-//! takes commands on standard input: `drop`, `vanish SECONDS`, `forget`, `said`.
+//! The stand-in as a program: serves the versions of a folder (`1.json`, `2.json`, ...), looks for new ones,
+//! and takes commands on standard input: `drop`, `vanish SECONDS`, `forget`, `said`.
 
 use clap::Parser;
 use control_stand_in::{StandIn, Troubles};
--- a/crates/control/src/inputs.rs
+++ b/crates/control/src/inputs.rs
@@ -36,8 +36,8 @@
     Ended { stream: StreamNo, why: String },
     /// A response came on it.
     Came { stream: StreamNo, nonce: Nonce, offer: Offer },
-    /// How what was taken under the running version ended, counted up since it was applied, and how many nodes
-    /// are ready. Told at a steady pace.
+    /// How what was taken under the running version ended, counted up since it was applied, and how many
+    /// nodes are ready. Told at a steady pace.
     Counted(Sample),
     /// A moment that was asked for has come.
     Due,
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -125,7 +125,8 @@
         effects
     }
 
-    /// Each nonce of a stream gets one answer: a response that is repeated under an answered one is passed over.
+    /// Each nonce of a stream gets one answer: a response that is repeated under an answered one is passed
+    /// over.
     fn came(
         &mut self,
         now: Tenths,
--- a/crates/control/src/patience.rs
+++ b/crates/control/src/patience.rs
@@ -1,5 +1,5 @@
-//! The times and counts by which a keeper goes. All are the operator's; the defaults are stated here and on the
-//! operators' page.
+//! The times and counts by which a keeper goes. All are the operator's; the defaults are stated here and on
+//! the operators' page.
 
 use barleydrum::Tenths;
 
--- a/crates/control/src/trial.rs
+++ b/crates/control/src/trial.rs
@@ -1,9 +1,10 @@
-//! Whether a version on trial is to blame for what ends badly. It compares the share of retrievals taken under
-//! it that ended badly with the share before, beyond noise; and it holds its tongue while nodes are lost, for
-//! a hall that fell in the same minute looks the same from here.
+//! Whether a version on trial is to blame for what ends badly. It compares the share of retrievals taken
+//! under it that ended badly with the share before, beyond noise; and it holds its tongue while nodes are
+//! lost, for a hall that fell in the same minute looks the same from here.
 //!
-//! What it can't tell: a version that brings nodes down (it takes that for a cloud); a trouble of callers or of
-//! the way to them that began in the same span as the version; harm too rare for the traffic that there was.
+//! What it can't tell: a version that brings nodes down (it takes that for a cloud); a trouble of callers or
+//! of the way to them that began in the same span as the version; harm too rare for the traffic that there
+//! was.
 
 use crate::patience::Patience;
 use Sky::{Clear, Overcast};
@@ -92,8 +93,8 @@
 const READY_LEFT: f64 = 0.9;
 /// Where too little ended before to compare with, this share ending badly is taken for usual.
 const USUAL: f64 = 0.5;
-/// The span before is looked at in so many pieces: the worst counts, so that a trouble that began shortly before
-/// the version is not laid to it.
+/// The span before is looked at in so many pieces: the worst counts, so that a trouble that began shortly
+/// before the version is not laid to it.
 const PIECES: usize = 4;
 
 /// What one look at the counts shows.
@@ -103,7 +104,8 @@
     after: Sample,
 }
 
-/// How retrievals ended of late, a piece for each time that it was told; as long back as a trial compares with.
+/// How retrievals ended of late, a piece for each time that it was told; as long back as a trial compares
+/// with.
 #[derive(Clone, Debug, Default)]
 pub struct Past {
     pieces: VecDeque<(Tenths, Sample)>,
@@ -209,8 +211,8 @@
         look.after.ended >= least_ended && least > usual + margin
     }
 
-    /// Time and retrievals enough, and what was seen does not look worse. One that does, though not beyond noise, is
-    /// looked at on.
+    /// Time and retrievals enough, and what was seen does not look worse. One that does, though not beyond
+    /// noise, is looked at on.
     fn is_over(&self, look: &Look) -> bool {
         let Patience { least_ended, margin, trial, .. } = self.patience;
         let usual = self.before.at_most(least_ended, Sample::unblamed, USUAL);
@@ -359,7 +361,8 @@
         }
     }
 
-    /// Few retrievals, all bad, and nothing to compare with: not proven by them, and blamed once there are more.
+    /// Few retrievals, all bad, and nothing to compare with: not proven by them, and blamed once there are
+    /// more.
     #[rstest]
     fn what_looks_worse_is_not_proven() {
         let patience = Patience { trial: Tenths(3 * SECOND), margin: 0.2, ..Patience::default() };
--- a/crates/control/src/versions.rs
+++ b/crates/control/src/versions.rs
@@ -104,7 +104,8 @@
 
 /// Numbers and withdrawn digests that are remembered; the oldest are forgotten first.
 const REMEMBERED: usize = 256;
-/// A version during whose trial the process ended so often is not tried again. One end may be anybody's doing.
+/// A version during whose trial the process ended so often is not tried again. One end may be anybody's
+/// doing.
 const MOST_STRIKES: u32 = 3;
 
 /// What must outlast the process, where there is a disk.
@@ -343,8 +344,8 @@
         effects.extend([Effect::Keep(self.runs), Effect::Say(word)]);
     }
 
-    /// The last confirmed one is put back. It needs no trial, and the contents that failed are not taken again
-    /// under any number: so it can't flap.
+    /// The last confirmed one is put back. It needs no trial, and the contents that failed are not taken
+    /// again under any number: so it can't flap.
     fn withdraw(&mut self, occasion: &Occasion, effects: &mut Vec<Effect>) {
         let (failed, why) = (self.runs, occasion.why.to_owned());
         if self.withdrawn.len() >= REMEMBERED
--- a/crates/control/tests/life.rs
+++ b/crates/control/tests/life.rs
@@ -222,8 +222,8 @@
     assert!(play.last_refusal().starts_with("version 1 is older"));
 }
 
-/// Seconds after it was applied its answers fail: the last confirmed one is put back, and these contents are not
-/// taken again under any number. It does not flap.
+/// Seconds after it was applied its answers fail: the last confirmed one is put back, and these contents are
+/// not taken again under any number. It does not flap.
 #[rstest]
 fn withdraws_what_fails_and_does_not_take_it_again() {
     let mut play = Play::connected(1);
@@ -358,7 +358,8 @@
     proptest::collection::vec(step, 1..60)
 }
 
-/// The same sequences in every run, unless PROPTEST_RNG_SEED names others; a failure prints what it failed with.
+/// The same sequences in every run, unless PROPTEST_RNG_SEED names others; a failure prints what it failed
+/// with.
 fn seed() -> proptest::test_runner::RngSeed {
     let told = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|seed| seed.parse().ok());
     proptest::test_runner::RngSeed::Fixed(told.unwrap_or(1))
@@ -367,8 +368,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, rng_seed: seed(), ..ProptestConfig::default() })]
 
-    /// Over random sequences: the highest number never falls, each nonce has at most one answer, the report is what
-    /// is applied (held at every input), and contents that were withdrawn are never applied again.
+    /// Over random sequences: the highest number never falls, each nonce has at most one answer, the report
+    /// is what is applied (held at every input), and contents that were withdrawn are never applied again.
     #[test]
     fn keeps_its_word(steps in steps(), services in 1..3_usize) {
         let mut play = Play::connected(services);
--- a/crates/intake/src/fields.rs
+++ b/crates/intake/src/fields.rs
@@ -26,7 +26,8 @@
 /// When a value that differs from the one before takes effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Applies {
-    /// At once, for everything; where a rule looks back over a window, the tighter of both until that is over.
+    /// At once, for everything; where a rule looks back over a window, the tighter of both until that is
+    /// over.
     Live,
     /// For retrievals taken from then on; one that is open keeps what it was taken under.
     New,
--- a/crates/intake/src/tests.rs
+++ b/crates/intake/src/tests.rs
@@ -192,12 +192,14 @@
     assert_eq!(keys.len(), FIELDS.len());
 }
 
-/// Whatever stands in one place of a document: the check tells or passes it, and what it passes can be read and served by.
+/// Whatever stands in one place of a document: the check tells or passes it, and what it passes can be read
+/// and served by.
 mod anything {
     use super::*;
     use proptest::prelude::*;
 
-    /// The same sequence in every run, unless PROPTEST_RNG_SEED names another; a failure prints what it failed with.
+    /// The same sequence in every run, unless PROPTEST_RNG_SEED names another; a failure prints what it
+    /// failed with.
     fn seed() -> proptest::test_runner::RngSeed {
         let told = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|seed| seed.parse().ok());
         proptest::test_runner::RngSeed::Fixed(told.unwrap_or(1))
--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -1,5 +1,5 @@
-//! The six rules, held against what clients and hosts got, never against a broker's word. Decisions only: whoever plays
-//! a day (in virtual time, or on sockets) tells what happened and when.
+//! The six rules, held against what clients and hosts got, never against a broker's word. Decisions only:
+//! whoever plays a day (in virtual time, or on sockets) tells what happened and when.
 //!
 //! | rule | what is looked at |
 //! | --- | --- |
@@ -263,9 +263,10 @@
         Audit::new(Bounds { kinds, budget, grace: Tenths(50), slack: Tenths(5) }, 1)
     }
 
-    /// What happens to one retrieval of two even parts, a step a word: `a0` part 0 arrives, `t0` is taken, `m0` made;
-    /// `d` arrives at a host told to drain; `A01` answered by 0 and 1, whole; `P0` partial; `D` declined, `S` scrapped;
-    /// a number moves the clock. Then the rule that is broken, if any.
+    /// What happens to one retrieval of two even parts, a step a word: `a0` part 0 arrives, `t0` is taken,
+    /// `m0` made;
+    /// `d` arrives at a host told to drain; `A01` answered by 0 and 1, whole; `P0` partial; `D` declined, `S`
+    /// scrapped; a number moves the clock. Then the rule that is broken, if any.
     #[rstest]
     #[case(0, "a0 t0 m0 a1 t1 m1 A01", "")]
     #[case(0, "a0 t0 m0 P0 C", "")]
--- a/crates/lab/src/baseline.rs
+++ b/crates/lab/src/baseline.rs
@@ -1,6 +1,6 @@
-//! What the module is measured against: each part to a holder drawn at random; and the design's ordinary path alone,
-//! without one of the exceptions that `docs/design.md` lists (no further pushes, no copies, no room, no health, no cold
-//! shares). They hear and do what the module does, and are no part of the product.
+//! What the module is measured against: each part to a holder drawn at random; and the design's ordinary path
+//! alone, without one of the exceptions that `docs/design.md` lists (no further pushes, no copies, no room,
+//! no health, no cold shares). They hear and do what the module does, and are no part of the product.
 
 use barleydrum::{
     Category, CategoryNo, CellNo, Effect, GroupNo, Input, Layout, NewPart, NewRetrieval, NodeId, PartId,
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,5 +1,6 @@
-//! A fleet of brokers and one control service in virtual time. The brokers decide by the product's own keeper, or
-//! by the baseline: call again after a fixed wait. The service, the network and the troubles are a model.
+//! A fleet of brokers and one control service in virtual time. The brokers decide by the product's own
+//! keeper, or by the baseline: call again after a fixed wait. The service, the network and the troubles are a
+//! model.
 
 use barleydrum::Tenths;
 use control::{Digest, Effect, Input, Keeper, Memory, Nonce, Offer, Patience, Sample, StreamNo, VersionId};
@@ -44,7 +45,8 @@
     pub calls: BTreeMap<i64, u64>,
     /// Answers, by second.
     pub answers: BTreeMap<i64, u64>,
-    /// When each broker first ran a version, in tenths since its publication or the service's return, if later.
+    /// When each broker first ran a version, in tenths since its publication or the service's return, if
+    /// later.
     pub arrivals: BTreeMap<u64, Vec<i64>>,
     /// When each broker had withdrawn a version, in tenths since that was published.
     pub withdrawals: Vec<i64>,
--- a/crates/lab/src/lean.rs
+++ b/crates/lab/src/lean.rs
@@ -1,5 +1,5 @@
-//! `measure lean`: what the platform's program costs, beside an earlier build of it, in turn, on loopback sockets.
-//! Nothing is switched on: a feature that is off must cost nothing.
+//! `measure lean`: what the platform's program costs, beside an earlier build of it, in turn, on loopback
+//! sockets. Nothing is switched on: a feature that is off must cost nothing.
 
 use ledger_host::Build;
 use ledger_host::net::Served;
@@ -13,7 +13,8 @@
 /// Rounds of both, and retrievals in each.
 const ROUNDS: usize = 7;
 const RETRIEVALS: u64 = 2_000;
-/// The medians may lie so far apart: rounds of one and the same program spread by as much on a shared machine.
+/// The medians may lie so far apart: rounds of one and the same program spread by as much on a shared
+/// machine.
 const CPU_BOUND: f64 = 1.05;
 const MEMORY_BOUND: f64 = 1.10;
 /// The kernel's clock ticks a second, as /proc counts CPU.
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -1,12 +1,13 @@
-//! A plan played on sockets: brokers as they are, model hosts behind scripted peers, a discovery, clients, all on
-//! loopback, in one process and on one thread.
+//! A plan played on sockets: brokers as they are, model hosts behind scripted peers, a discovery, clients,
+//! all on loopback, in one process and on one thread.
 //!
-//! Sockets and clocks are not deterministic; this is how the day is all the same. There is one clock, tokio's, paused:
-//! it moves a millisecond at a time, and only when every party is idle. Idle is no guess by waiting: each broker's open
-//! retrievals must be those that clients wait for, its pushes those that hosts hold or have just heard, and its
-//! question for changes of the roll must lie at discovery; whatever is on its way, in either direction, makes one of
-//! them differ. Then one thing happens, in a stated order, and the parties come to rest again. A machine that is too
-//! busy makes this slow, never different; past a stated patience there is no figure at all.
+//! Sockets and clocks are not deterministic; this is how the day is all the same. There is one clock,
+//! tokio's, paused: it moves a millisecond at a time, and only when every party is idle. Idle is no guess by
+//! waiting: each broker's open retrievals must be those that clients wait for, its pushes those that hosts
+//! hold or have just heard, and its question for changes of the roll must lie at discovery; whatever is on
+//! its way, in either direction, makes one of them differ. Then one thing happens, in a stated order, and the
+//! parties come to rest again. A machine that is too busy makes this slow, never different; past a stated
+//! patience there is no figure at all.
 
 use crate::audit::{Audit, Final, PartNo};
 use crate::outcome::{Of, Outcome, Standings};
@@ -158,7 +159,8 @@
             let seed = cast.seed ^ u64::from(no).rotate_left(32);
             let config = json!({"name": format!("b{no}"), "listen": "127.0.0.1:0",
                 "discovery": catalog.address.to_string(), "seed": format!("{seed:x}"),
-                // As much as the day may need: connections that are let go for want of room are another matter.
+                // As much as the day may need: connections that are let go for want of room are another
+                // matter.
                 "limits": {"cores": 1.0, "memory_mb": 2048, "sockets": 16384},
                 "settings": scene::settings(staging, &cast)});
             let mut order =
@@ -203,8 +205,8 @@
 
     /// Each broker asks discovery in its first turn: until then the clock stands.
     async fn gather(&mut self) -> Result<(), NoFigure> {
-        // Guards against a runtime that finds nothing to do but wait for a socket: with its clock paused, it would
-        // move that on to the next timer by itself.
+        // Guards against a runtime that finds nothing to do but wait for a socket: with its clock paused, it
+        // would move that on to the next timer by itself.
         spawn_local(async {
             loop {
                 yield_now().await;
@@ -243,7 +245,8 @@
         Ok(())
     }
 
-    /// What is due at this moment, one after the other: hosts by their numbers, discovery, then the plan's entries.
+    /// What is due at this moment, one after the other: hosts by their numbers, discovery, then the plan's
+    /// entries.
     async fn due(&mut self) -> Result<(), NoFigure> {
         for host in 0..self.hosts.len() {
             while let Some(no) = self.hosts[host].end(self.now) {
@@ -279,7 +282,8 @@
         }
     }
 
-    /// Until nothing is under way; then what came is looked at, in a stated order, until that brings nothing more.
+    /// Until nothing is under way; then what came is looked at, in a stated order, until that brings nothing
+    /// more.
     async fn rest(&mut self) -> Result<(), NoFigure> {
         let until = Instant::now() + self.patience;
         loop {
@@ -363,8 +367,8 @@
         out.iter().map(|(address, id)| (*address, &id[..])).eq(held.iter().map(|(a, id)| (*a, &id[..])))
     }
 
-    /// Looks at what came: at hosts by number, then connections by the retrievals that they brought, each in the order
-    /// in which it came; then at clients.
+    /// Looks at what came: at hosts by number, then connections by the retrievals that they brought, each in
+    /// the order in which it came; then at clients.
     async fn look(&mut self) -> Result<(), NoFigure> {
         let mut groups: BTreeMap<(usize, usize), Vec<Heard>> = BTreeMap::new();
         for (host, line, heard) in std::mem::take(&mut self.inbox) {
--- a/crates/lab/src/loopback/tests.rs
+++ b/crates/lab/src/loopback/tests.rs
@@ -44,8 +44,8 @@
     Cast { brokers: 2, mind: Mind::Module, seed: 5, cells: 3, cores: 4 }
 }
 
-/// Three seconds of retrievals, four parts of 20 ms each, so many a second; half of the hosts die in one instant and
-/// come back cold, one drains.
+/// Three seconds of retrievals, four parts of 20 ms each, so many a second; half of the hosts die in one
+/// instant and come back cold, one drains.
 fn plan(a_second: u64, events: &[(u64, u32, HostEvent)]) -> Plan {
     let host = |at, host, event| Entry { at, what: Happens::Host { host, event } };
     let mut entries: Vec<Entry> = (0..6).map(|no| host(0, no, HostEvent::Warm)).collect();
@@ -70,8 +70,8 @@
     play(plan, &staging(), cast(), |_, _| true).unwrap()
 }
 
-/// The same service and the same digest of all that hosts and clients got, on five runs, one of them beside a busy loop
-/// on every core; and no rule broken by that.
+/// The same service and the same digest of all that hosts and clients got, on five runs, one of them beside a
+/// busy loop on every core; and no rule broken by that.
 #[rstest]
 fn the_same_day_on_sockets_each_time() {
     let first = day(troubled());
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -71,7 +71,8 @@
         /// The layout, where a file's name does not tell.
         #[arg(long)]
         layout: Option<String>,
-        /// Rejected rows: `first` ends it at the first, `count` counts them, a share as 0.01 ends it past that.
+        /// Rejected rows: `first` ends it at the first, `count` counts them, a share as 0.01 ends it past
+        /// that.
         #[arg(long, default_value = "count")]
         tolerate: traces::Tolerance,
         /// One JSON object for scripts.
@@ -80,7 +81,8 @@
     },
     /// Print what brokers and hosts would feel of a window of these files, and the plan's digest.
     Plan(traces::Planned),
-    /// Play the plan among model hosts: the module or a baseline in virtual time, or brokers on loopback sockets.
+    /// Play the plan among model hosts: the module or a baseline in virtual time, or brokers on loopback
+    /// sockets.
     Run(traces::Played),
 }
 
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,4 +1,5 @@
-//! What a day came to, whoever played it: service in the brief's terms, latencies, and what happened second by second.
+//! What a day came to, whoever played it: service in the brief's terms, latencies, and what happened second
+//! by second.
 
 use crate::audit::Break;
 use barleydrum::Tenths;
@@ -13,11 +14,19 @@
 }
 
 impl Service {
+    /// 1 where nothing was asked: see [`Service::told`] for what is shown.
     pub fn share(&self) -> f64 {
         if self.asked > 0.0 { self.earned / self.asked } else { 1.0 }
     }
 }
 
+impl Service {
+    /// None where nothing was asked.
+    pub fn told(&self) -> Option<f64> {
+        (self.asked > 0.0).then(|| self.share())
+    }
+}
+
 /// How hosts stand.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Standings {
@@ -192,9 +201,9 @@
             .worth
             .iter()
             .zip(&self.by_category)
-            .map(|(w, s)| (w.name.clone(), json!(s.share())))
+            .map(|(w, s)| (w.name.clone(), json!(s.told())))
             .collect();
-        let by_caller: Vec<f64> = self.by_caller.iter().map(Service::share).collect();
+        let by_caller: Vec<Option<f64>> = self.by_caller.iter().map(Service::told).collect();
         let broken: serde_json::Map<String, Value> =
             self.broken.iter().map(|(rule, told)| ((*rule).to_owned(), json!(told.times))).collect();
         json!({"service": self.service.share(), "by_category": by_category, "by_caller": by_caller,
--- a/crates/lab/src/reading.rs
+++ b/crates/lab/src/reading.rs
@@ -1,5 +1,5 @@
-//! `measure trace`: rows a second and peak memory of the trace readers, beside the bare CSV reader, in turn on one
-//! file that is made here and removed.
+//! `measure trace`: rows a second and peak memory of the trace readers, beside the bare CSV reader, in turn
+//! on one file that is made here and removed.
 
 use serde_json::json;
 use std::fs::File;
@@ -11,7 +11,8 @@
 const ROUNDS: usize = 3;
 /// The readers do more than split a line: half of the bare reader's speed is wanted.
 const SPEED_BOUND: f64 = 0.5;
-/// Peak memory may grow by so much from a tenth of the file to the whole, in kB: pages that the allocator keeps.
+/// Peak memory may grow by so much from a tenth of the file to the whole, in kB: pages that the allocator
+/// keeps.
 const MEMORY_BOUND: f64 = 4096.0;
 
 struct Made(PathBuf);
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -1,6 +1,6 @@
-//! A plan played in virtual time: brokers of the product's own module, unchanged, or a baseline; model hosts; a roll
-//! that is late as discovery is. The rules are checked by what hosts and clients got, not by the brokers' word.
-//! One thread, one agenda: the same plan and seed give the same decisions, to the byte.
+//! A plan played in virtual time: brokers of the product's own module, unchanged, or a baseline; model hosts;
+//! a roll that is late as discovery is. The rules are checked by what hosts and clients got, not by the
+//! brokers' word. One thread, one agenda: the same plan and seed give the same decisions, to the byte.
 
 use crate::audit::{Audit, Final, PartNo};
 use crate::baseline::{Baseline, How};
@@ -173,9 +173,9 @@
         world
     }
 
-    /// Plays to the end, until nothing is due any more that can matter; or until `going_on` says no, asked once for
-    /// each second of the day. What was played by then is told as partial, and what was open is not held against
-    /// anybody.
+    /// Plays to the end, until nothing is due any more that can matter; or until `going_on` says no, asked
+    /// once for each second of the day. What was played by then is told as partial, and what was open is not
+    /// held against anybody.
     pub fn play(mut self, mut going_on: impl FnMut(Tenths, Tenths) -> bool) -> Outcome {
         let last = Tenths(self.plan.entries.last().map_or(0, |entry| entry.at) as i64);
         while let Some(Reverse((at, _, event))) = self.agenda.pop() {
@@ -402,7 +402,8 @@
             self.hasher.update(line.as_bytes());
             self.carry_out(broker, effect);
         }
-        // Guards against a wake-up that an earlier turn has taken the place of: the module asks for it only once.
+        // Guards against a wake-up that an earlier turn has taken the place of: the module asks for it only
+        // once.
         if let Some(at) = self.seats[broker].wake_at {
             self.wake(broker, at);
         }
--- a/crates/lab/src/scene.rs
+++ b/crates/lab/src/scene.rs
@@ -1,5 +1,5 @@
-//! What a plan becomes for brokers, hosts and the audit: the stated assumptions of a rehearsal, the same in virtual time
-//! and on sockets.
+//! What a plan becomes for brokers, hosts and the audit: the stated assumptions of a rehearsal, the same in
+//! virtual time and on sockets.
 
 use crate::audit::{Bounds, Kind};
 use crate::outcome::Worth;
@@ -11,7 +11,8 @@
 use serde_json::{Value, json};
 use trace::plan::{Repeats, Staging};
 
-/// One way through the network, the least time between turns, and how late the roll tells of starts and deaths.
+/// One way through the network, the least time between turns, and how late the roll tells of starts and
+/// deaths.
 pub const TRIP: Tenths = Tenths(5);
 pub const PERIOD: Tenths = Tenths(50);
 pub const ROLL_LATE: Tenths = Tenths(10_000);
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -1,6 +1,7 @@
-//! `trace check`: reads trace files, and says what of them can be used. `trace plan`: what they become. `trace run`: how
-//! it goes. Exit codes: 0 every row, or no rule broken; 1 some were rejected, the policy ended it, or a rule was broken;
-//! 2 a mistake in the words or a file that can't be begun; 3 no figure, as the machine was too busy; 4 interrupted.
+//! `trace check`: reads trace files, and says what of them can be used. `trace plan`: what they become.
+//! `trace run`: how it goes. Exit codes: 0 every row, or no rule broken; 1 some were rejected, the policy
+//! ended it, or a rule was broken; 2 a mistake in the words or a file that can't be begun; 3 no figure, as
+//! the machine was too busy; 4 interrupted.
 
 use crate::outcome::Outcome;
 use crate::rehearse::{self, Mind, World};
@@ -66,7 +67,8 @@
     if sound { ExitCode::SUCCESS } else { ExitCode::from(1) }
 }
 
-/// The layout whose file a name looks like: as published, the files lie in folders or have names of their kind.
+/// The layout whose file a name looks like: as published, the files lie in folders or have names of their
+/// kind.
 fn guess(file: &Path) -> Option<&'static Layout> {
     let path = file.to_string_lossy().replace('-', "_");
     let kinds = [
@@ -199,7 +201,8 @@
     /// Who decides: the module, or a baseline.
     #[arg(long, default_value = "module")]
     pub mind: Mind,
-    /// The brokers on sockets, with hosts, discovery and clients on loopback, in place of the module in virtual time.
+    /// The brokers on sockets, with hosts, discovery and clients on loopback, in place of the module in
+    /// virtual time.
     #[arg(long)]
     pub loopback: bool,
     /// Leave a page of plots here (HTML that needs nothing else), and the figures beside it as JSON.
--- a/crates/lab/src/versions.rs
+++ b/crates/lab/src/versions.rs
@@ -1,5 +1,5 @@
-//! `measure control`: a fleet whose control service restarts, against brokers that call again after a fixed wait;
-//! then one whose streams are dropped all the while; then a version that fails.
+//! `measure control`: a fleet whose control service restarts, against brokers that call again after a fixed
+//! wait; then one whose streams are dropped all the while; then a version that fails.
 
 use crate::fleet::{Fleet, Happening, Manner, Outcome, SECOND};
 use barleydrum::Tenths;
@@ -13,13 +13,13 @@
 
 /// Calls a second that the service is said to bear, for each broker of the fleet; stated to the keepers.
 const CALLS_SHARE: f64 = 0.1;
-/// The worst second may lie so far above that: waits are drawn, and five standard deviations of the number that
-/// falls into one second are allowed for.
+/// The worst second may lie so far above that: waits are drawn, and five standard deviations of the number
+/// that falls into one second are allowed for.
 const DEVIATIONS: f64 = 5.0;
 /// After the service's return all must run the newest within so many of the longest waits.
 const WITHIN_WAITS: f64 = 1.2;
-/// A version under which everything fails must be out after so many seconds: three counts, at 20 retrievals a second,
-/// make more than the least of 30, and the counts of a broker lie a second apart.
+/// A version under which everything fails must be out after so many seconds: three counts, at 20 retrievals a
+/// second, make more than the least of 30, and the counts of a broker lie a second apart.
 const WITHDRAWN_WITHIN: f64 = 5.0;
 
 /// Plays and prints; whether all bounds were kept.
--- a/crates/ledger-host/src/lib.rs
+++ b/crates/ledger-host/src/lib.rs
@@ -1,7 +1,7 @@
-//! A stand-in ledger host, as a model: cores, a bounded queue, service times, load reports, a cold start with its
-//! warm-up, drain, death, slowness. It has no clock, no sockets and no chance: whoever drives it tells the time, and
-//! asks when something is due. [`net`] drives it on a loopback socket, by frames as in the protocol; [`script`] has peers
-//! on loopback that do just what they are told: hosts, discovery, clients.
+//! A stand-in ledger host, as a model: cores, a bounded queue, service times, load reports, a cold start with
+//! its warm-up, drain, death, slowness. It has no clock, no sockets and no chance: whoever drives it tells
+//! the time, and asks when something is due. [`net`] drives it on a loopback socket, by frames as in the
+//! protocol; [`script`] has peers on loopback that do just what they are told: hosts, discovery, clients.
 //!
 //! ```
 //! use barleydrum::Tenths;
--- a/crates/ledger-host/src/net.rs
+++ b/crates/ledger-host/src/net.rs
@@ -1,5 +1,5 @@
-//! The model on a loopback socket: frames as the platform's protocol has them. Real time comes in here, and nowhere
-//! below. It notes what came, so that the rules can be held against what a host got.
+//! The model on a loopback socket: frames as the platform's protocol has them. Real time comes in here, and
+//! nowhere below. It notes what came, so that the rules can be held against what a host got.
 
 use crate::{Build, Host, JobNo, Load, State, Taken};
 use barleydrum::Tenths;
@@ -136,8 +136,8 @@
     }
 }
 
-/// Without a process a connection is dropped as it comes: on loopback that is as near to a refusal as it gets while
-/// the address is kept.
+/// Without a process a connection is dropped as it comes: on loopback that is as near to a refusal as it gets
+/// while the address is kept.
 fn accept(shared: &Arc<Shared>, listener: &TcpListener) {
     for stream in listener.incoming() {
         let mut inner = shared.lock();
@@ -249,7 +249,8 @@
 fn take_part(shared: &Shared, no: u64, line: &Line, id: &str, shard: u32, text: &[u8]) {
     let now = shared.now();
     let mut inner = shared.lock();
-    // Guards against what was still to be read on a connection of a process that died: the next one never had it.
+    // Guards against what was still to be read on a connection of a process that died: the next one never had
+    // it.
     if !inner.lines.contains_key(&no) {
         return;
     }
--- a/crates/ledger-host/src/script.rs
+++ b/crates/ledger-host/src/script.rs
@@ -1,6 +1,6 @@
-//! Peers on loopback that do just what they are told: hosts whose frames are read and written one by one, a discovery
-//! whose replies are given or whose list is kept, clients. Who drives them decides when anything happens; they have no
-//! clock and no model. They live on the thread that drives them, within a `LocalSet`.
+//! Peers on loopback that do just what they are told: hosts whose frames are read and written one by one, a
+//! discovery whose replies are given or whose list is kept, clients. Who drives them decides when anything
+//! happens; they have no clock and no model. They live on the thread that drives them, within a `LocalSet`.
 
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
@@ -255,7 +255,8 @@
 /// What a list's entry was changed by, and what it says.
 type Entries = BTreeMap<String, (u64, Value)>;
 
-/// Discovery that keeps a list, and holds a call that waits for changes until there are some, or its time is up.
+/// Discovery that keeps a list, and holds a call that waits for changes until there are some, or its time is
+/// up.
 pub struct Catalog {
     pub address: SocketAddr,
     kept: Rc<Kept>,
--- a/crates/operator/src/keys.rs
+++ b/crates/operator/src/keys.rs
@@ -1,5 +1,5 @@
-//! Every key of the operator's file: where it stands, its default, what it may hold, what it is for. The shipped
-//! file and the operators' page say the same.
+//! Every key of the operator's file: where it stands, its default, what it may hold, what it is for. The
+//! shipped file and the operators' page say the same.
 
 use std::net::SocketAddr;
 
--- a/crates/trace/src/judge.rs
+++ b/crates/trace/src/judge.rs
@@ -6,7 +6,8 @@
 use std::fmt;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// A name or an opaque id of the trace, by its XXH3: rows of one job have one, in every run. None of an empty field.
+/// A name or an opaque id of the trace, by its XXH3: rows of one job have one, in every run. None of an empty
+/// field.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Id(pub u64);
 
@@ -230,7 +231,8 @@
     }
 }
 
-/// A whole number; one with a fraction of nothing (`86400.0`) is one too, as some copies of traces write them.
+/// A whole number; one with a fraction of nothing (`86400.0`) is one too, as some copies of traces write
+/// them.
 fn whole(text: &str, most: u64) -> Result<u64, Reason> {
     let digits = text.strip_suffix(".0").unwrap_or(text);
     // Signs are read by the library, and are not digits.
--- a/crates/trace/src/layout.rs
+++ b/crates/trace/src/layout.rs
@@ -1,5 +1,5 @@
-//! The published layouts, each a table of its columns. What a column is called is the publisher's; its role is what a
-//! rehearsal makes of it.
+//! The published layouts, each a table of its columns. What a column is called is the publisher's; its role
+//! is what a rehearsal makes of it.
 
 use Form::{Code, Count, Id, Ignored, Number, Time};
 use Role::*;
--- a/crates/trace/src/ledger.rs
+++ b/crates/trace/src/ledger.rs
@@ -1,5 +1,5 @@
-//! Counts verdicts, looks for what no single row tells (duplicates, machines that were never added), and holds a
-//! policy against what was rejected. Decisions only.
+//! Counts verdicts, looks for what no single row tells (duplicates, machines that were never added), and
+//! holds a policy against what was rejected. Decisions only.
 
 use crate::Reason;
 use crate::judge::{Id, MachineEvent, Rejected, Row, Verdict, What, WorkEvent};
--- a/crates/trace/src/lib.rs
+++ b/crates/trace/src/lib.rs
@@ -1,10 +1,10 @@
 //! Reads public cluster traces in CSV: a verdict for each row, in bounded memory, plain or gzip.
 //!
 //! A [`Layout`] says what the columns of a published trace are; [`Reader`] gives a [`Verdict`] for each line:
-//! taken, as a [`Row`], or rejected, with file line, column, what it holds, what was allowed, and a [`Reason`] whose
-//! code never changes. [`Order`] then puts rows in the order of their times within a bounded window, and tells a clock
-//! that stepped from a row that strayed. [`Ledger`] counts: lines read = taken + rejected by reason, and holds the
-//! policy against them.
+//! taken, as a [`Row`], or rejected, with file line, column, what it holds, what was allowed, and a
+//! [`Reason`] whose code never changes. [`Order`] then puts rows in the order of their times within a bounded
+//! window, and tells a clock that stepped from a row that strayed. [`Ledger`] counts: lines read = taken +
+//! rejected by reason, and holds the policy against them.
 //!
 //! [`plan`] turns rows into what brokers and hosts are to feel.
 //!
--- a/crates/trace/src/lines.rs
+++ b/crates/trace/src/lines.rs
@@ -1,6 +1,6 @@
-//! What stands between a file and the CSV reader: cuts it into blocks of whole physical lines, each to become one
-//! record, whatever is in it. A line that no row of these layouts can be (megabytes long, blank, with a quote that is
-//! not closed) goes on as a mark, so that memory stays bounded, and its fault is told apart.
+//! What stands between a file and the CSV reader: cuts it into blocks of whole physical lines, each to become
+//! one record, whatever is in it. A line that no row of these layouts can be (megabytes long, blank, with a
+//! quote that is not closed) goes on as a mark, so that memory stays bounded, and its fault is told apart.
 
 use crate::Reason;
 use std::collections::VecDeque;
--- a/crates/trace/src/order.rs
+++ b/crates/trace/src/order.rs
@@ -1,10 +1,10 @@
 //! Rows into the order of their times, within a bounded window; and what a row far off means. Decisions only.
 //!
-//! A published trace is sorted, a copy of it seldom quite: rows are late by a little (the window sorts that), a single
-//! row strays (its time is wrong), or the clock steps (all times from there on are wrong by the same). The rule: a row
-//! further off than the window is held back. If so many rows in a row are off the same way, the clock has stepped: time
-//! goes on where it was, and the offset is kept for all that follows. If a row at the old level comes before that, what
-//! was held back had strayed, and is rejected.
+//! A published trace is sorted, a copy of it seldom quite: rows are late by a little (the window sorts that),
+//! a single row strays (its time is wrong), or the clock steps (all times from there on are wrong by the
+//! same). The rule: a row further off than the window is held back. If so many rows in a row are off the same
+//! way, the clock has stepped: time goes on where it was, and the offset is kept for all that follows. If a
+//! row at the old level comes before that, what was held back had strayed, and is rejected.
 
 use crate::Reason;
 use crate::judge::{Rejected, Row, Verdict};
@@ -93,7 +93,8 @@
     }
 }
 
-/// Puts rows in order. What goes out is in the order of times, rows of one moment in the order of their lines.
+/// Puts rows in order. What goes out is in the order of times, rows of one moment in the order of their
+/// lines.
 pub struct Order {
     window: Window,
     state: State,
@@ -186,7 +187,8 @@
         }
     }
 
-    /// The clock has stepped: backwards, time goes on where it was; forwards, it is a gap in the trace, and is kept.
+    /// The clock has stepped: backwards, time goes on where it was; forwards, it is a gap in the trace, and
+    /// is kept.
     fn step(&mut self, out: &mut Vec<Verdict>) {
         let backwards = self.state == Held(Behind);
         self.state = Steady;
--- a/crates/trace/src/plan.rs
+++ b/crates/trace/src/plan.rs
@@ -1,8 +1,9 @@
 //! The rehearsal plan: what the rows of a window become for brokers and hosts. Decisions only; the same rows,
 //! assumptions and seed give the same plan, byte for byte.
 //!
-//! What is the trace's: when work arrives, how much it is beside the rest, whose it is, when machines come and go.
-//! What no trace has is an assumption, told with the plan: parts, weights, shards, payoff, cut-off ([`Staging`]).
+//! What is the trace's: when work arrives, how much it is beside the rest, whose it is, when machines come
+//! and go. What no trace has is an assumption, told with the plan: parts, weights, shards, payoff, cut-off
+//! ([`Staging`]).
 
 use crate::judge::{Id, MachineEvent, Row, What, WorkEvent};
 use std::collections::BTreeMap;
@@ -145,7 +146,8 @@
     pub ms_per_unit: f64,
 }
 
-/// Work of which the trace does not tell counts as this, in the trace's unit: the least that is told of in practice.
+/// Work of which the trace does not tell counts as this, in the trace's unit: the least that is told of in
+/// practice.
 const SILENT: f64 = 0.01;
 /// A part's work is this long at the least.
 const LEAST_US: u64 = 50;
@@ -312,10 +314,12 @@
         if self.work.is_empty() {
             return Err(NoPlan::Empty { from, to });
         }
-        // One unit of the trace's becomes so much work that the window offers the stated share of what hosts can do.
+        // One unit of the trace's becomes so much work that the window offers the stated share of what hosts
+        // can do.
         let seconds = (to - from) as f64 / 1e6 * self.staging.stretch;
         let can = f64::from(self.staging.hosts) * self.staging.host_ms_per_s * seconds;
-        // By time, then by name, so that the order of rows in a file does not matter, to the last bit of the sum.
+        // By time, then by name, so that the order of rows in a file does not matter, to the last bit of the
+        // sum.
         self.work.sort_by_key(|work| (work.at, work.piece));
         let units: f64 = self.work.iter().map(|work| work.units).sum();
         let ms_per_unit = can * self.staging.load / units;
@@ -335,7 +339,8 @@
         (at.saturating_sub(self.staging.from) as f64 / 100.0 * self.staging.stretch) as u64
     }
 
-    /// How hosts stand as the window begins, then what becomes of them. A trace without machines has all hosts there.
+    /// How hosts stand as the window begins, then what becomes of them. A trace without machines has all
+    /// hosts there.
     fn host_entries(&self) -> Vec<Entry> {
         let (before, within): (Vec<_>, Vec<_>) =
             self.hosts.iter().copied().partition(|(at, ..)| *at <= self.staging.from);
--- a/crates/trace/src/reader.rs
+++ b/crates/trace/src/reader.rs
@@ -1,5 +1,6 @@
-//! A file into verdicts, one for each line, in bounded memory. A file that is opened by its path is judged ahead on
-//! threads of its own: one cuts blocks of lines, a few judge them in turn, and the verdicts come in the order of lines.
+//! A file into verdicts, one for each line, in bounded memory. A file that is opened by its path is judged
+//! ahead on threads of its own: one cuts blocks of lines, a few judge them in turn, and the verdicts come in
+//! the order of lines.
 
 use crate::Reason;
 use crate::judge::{Rejected, Verdict, judge, quote};
@@ -39,7 +40,8 @@
 const BUFFER: usize = 256 * 1024;
 /// How a gzip file begins.
 const GZIP: &[u8] = &[0x1f, 0x8b];
-/// Threads that judge, at the most, beside the one that cuts and the one that takes: more would wait for either.
+/// Threads that judge, at the most, beside the one that cuts and the one that takes: more would wait for
+/// either.
 const JUDGES: usize = 4;
 /// Blocks that wait before and behind each of them: with these, memory is bounded however slow the taker is.
 const WAITING: usize = 2;
@@ -145,7 +147,8 @@
         verdicts.push(match is_mark(record) {
             true => fault(line, block.faults.pop_front()),
             false => match judge(layout, line, record) {
-                // The last line, without an end, that is no row: it was cut, and is not held against what was meant.
+                // The last line, without an end, that is no row: it was cut, and is not held against what was
+                // meant.
                 Verdict::Rejected(rejected) if block.open_ended && line == last => {
                     Verdict::Rejected(Rejected { reason: Reason::EndsMidway, ..rejected })
                 }
--- a/crates/trace/tests/plans.rs
+++ b/crates/trace/tests/plans.rs
@@ -143,8 +143,8 @@
     assert!(callers.contains(&0) && callers.contains(&1));
 }
 
-/// What was running as the window began is asked for at its beginning: spans that reach into it, and tasks that were
-/// scheduled and had not ended. A job longer than the window is there once.
+/// What was running as the window began is asked for at its beginning: spans that reach into it, and tasks
+/// that were scheduled and had not ended. A job longer than the window is there once.
 #[rstest]
 fn begins_with_what_was_running() {
     let rows = [
@@ -161,8 +161,8 @@
     assert_eq!((at, plan.running), (vec![0, 0, 500_000], 1));
 }
 
-/// Machines become hosts: there from the beginning, dead, returned under their name, slow; drained first where that is
-/// assumed; half of them gone in one instant.
+/// Machines become hosts: there from the beginning, dead, returned under their name, slow; drained first
+/// where that is assumed; half of them gone in one instant.
 #[rstest]
 #[case(0.0, false)]
 #[case(1.0, true)]
@@ -207,3 +207,32 @@
 fn says_why_there_is_no_plan(#[case] staging: Staging, #[case] why: NoPlan) {
     assert_eq!(plan(staging, &rows()), Err(why));
 }
+
+/// A file that comes slower than anything is played, a byte at a time, is the same plan: it is made before the day
+/// begins, so that a slow reader puts off the start and nothing else.
+#[rstest]
+fn a_slow_reader_changes_nothing() {
+    struct Trickle<'a>(&'a [u8]);
+    impl std::io::Read for Trickle<'_> {
+        fn read(&mut self, to: &mut [u8]) -> std::io::Result<usize> {
+            let one = self.0.len().min(to.len()).min(1);
+            let (now, later) = self.0.split_at(one);
+            to[..one].copy_from_slice(now);
+            self.0 = later;
+            Ok(one)
+        }
+    }
+    let text: String =
+        (0..200).map(|no| format!("{},,{no},0,,0,u{},1,1,0.1,0.1,0,0\n", 100_000_000 + no, no % 7)).collect();
+    let layout = trace::layout("google-2011-task-events").unwrap();
+    let digest = |from: &mut dyn Iterator<Item = trace::Verdict>| {
+        let mut planner = Planner::new(staging()).unwrap();
+        for verdict in from {
+            let trace::Verdict::Taken(row) = verdict else { panic!("{verdict:?}") };
+            planner.take(&row).unwrap();
+        }
+        planner.plan().unwrap().digest()
+    };
+    let slow = digest(&mut trace::Reader::new(layout, Trickle(text.as_bytes())).unwrap());
+    assert_eq!(slow, digest(&mut trace::Reader::new(layout, text.as_bytes()).unwrap()));
+}
--- a/crates/trace/tests/readers.rs
+++ b/crates/trace/tests/readers.rs
@@ -1,4 +1,5 @@
-//! Hand-written rows in the published layouts: each bad one is rejected with its reason, and nothing is lost unsaid.
+//! Hand-written rows in the published layouts: each bad one is rejected with its reason, and nothing is lost
+//! unsaid.
 
 use flate2::Compression;
 use flate2::write::GzEncoder;
@@ -175,7 +176,8 @@
     assert_eq!((&out[..], &rejected[..], steps), (went, others, 0));
 }
 
-/// A clock that was set back by a minute: time goes on where it was, with the same distances, and nothing is lost.
+/// A clock that was set back by a minute: time goes on where it was, with the same distances, and nothing is
+/// lost.
 #[rstest]
 fn goes_on_where_a_clock_stepped_back() {
     let (out, rejected, steps) = ordered(&[100, 101, 102, 40, 41, 42, 43, 44, 45]);
@@ -226,7 +228,8 @@
     assert_eq!((stop, ledger.taken, ledger.rejected_count()), (None, 2000, 150));
 }
 
-/// The same sequences in every run, unless PROPTEST_RNG_SEED names others; a failure prints what it failed with.
+/// The same sequences in every run, unless PROPTEST_RNG_SEED names others; a failure prints what it failed
+/// with.
 fn seed() -> proptest::test_runner::RngSeed {
     let told = std::env::var("PROPTEST_RNG_SEED").ok().and_then(|seed| seed.parse().ok());
     proptest::test_runner::RngSeed::Fixed(told.unwrap_or(1))
@@ -259,7 +262,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, rng_seed: seed(), ..ProptestConfig::default() })]
 
-    /// Whatever stands in a file: no panic, and each line has one verdict, also past the window and the ledger.
+    /// Whatever stands in a file: no panic, and each line has one verdict, also past the window and the
+    /// ledger.
     #[test]
     fn accounts_for_every_line(lines in proptest::collection::vec(line(), 0..20), which in 0..LAYOUTS.len()) {
         let text: Vec<u8> = lines.iter().flat_map(|line| [&line[..], b"\n"].concat()).collect();
@@ -285,8 +289,8 @@
     }
 }
 
-/// Judged ahead on other threads, over many blocks, each line has the verdict that it has on one; a taker that stops
-/// midway leaves nothing behind that waits for ever, and one that is slow loses nothing.
+/// Judged ahead on other threads, over many blocks, each line has the verdict that it has on one; a taker
+/// that stops midway leaves nothing behind that waits for ever, and one that is slow loses nothing.
 #[rstest]
 #[case(false)]
 #[case(true)]
