--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -122,6 +122,8 @@
     cast: Cast,
     names: Vec<String>,
     cut_offs: Vec<u32>,
+    /// Callers have quotas, so that brokers know them by name.
+    quotas: bool,
     catalog: Catalog,
     nodes: Vec<Node>,
     hosts: Vec<Host>,
@@ -177,6 +179,7 @@
             plan: plan.entries.into(),
             names: staging.categories.iter().map(|told| told.name.clone()).collect(),
             cut_offs: staging.categories.iter().map(|told| told.cut_off).collect(),
+            quotas: staging.quota_per_s.is_some(),
             catalog,
             told: vec![(Standing::Gone, Tenths(0)); hosts.len()],
             nodes,
@@ -511,7 +514,9 @@
         self.retrievals.push(Retrieval { broker, of, first, parts });
         let slices: Vec<(u32, f64)> = told.iter().map(|(shard, weight, _)| (*shard, *weight)).collect();
         let (left, body) = (u64::from(self.cut_offs[category]), script::body(&slices, "x"));
-        let request = script::request(&format!("r{no}"), &self.names[category], left, &body);
+        let by = scene::caller_name(caller);
+        let by = Some(&by[..]).filter(|_| self.quotas);
+        let request = script::request_of(by, &format!("r{no}"), &self.names[category], left, &body);
         let fresh = self.idle[broker].pop().filter(|(since, _)| self.now - *since < IDLE);
         if fresh.is_none() {
             self.idle[broker].clear();
--- a/crates/lab/src/loopback/tests.rs
+++ b/crates/lab/src/loopback/tests.rs
@@ -33,6 +33,7 @@
             role("dispensing", (1, 2), 1.0, 1.0, Repeats::AtMostOnce),
         ],
         callers: vec![1.0],
+        quota_per_s: None,
         drains: 0.0,
         drain_for: 20_000,
         budget: Some(Budget { few: 3.0, share: 0.1, window_ms: 5000 }),
--- a/crates/lab/src/scene.rs
+++ b/crates/lab/src/scene.rs
@@ -5,7 +5,8 @@
 use crate::outcome::Worth;
 use crate::rehearse::Cast;
 use barleydrum::{
-    Category, CategoryNo, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules, Standing, Tenths,
+    Caller, CallerNo, Category, CategoryNo, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules,
+    Standing, Tenths,
 };
 use ledger_host::{Build, Host, State};
 use serde_json::{Value, json};
@@ -23,6 +24,8 @@
 const ASK_WITHIN: Tenths = Tenths(100_000);
 const MOST_OPEN: u32 = 2000;
 const MOST_PUSHES: u32 = 3;
+/// What a retrieval beyond its caller's quota is worth to the module; service counts all alike.
+const OVER_SHARE: f64 = 0.1;
 /// Cells that hold a shard.
 const REACH: u32 = 2;
 
@@ -44,6 +47,18 @@
     Some(FurtherBudget { floor: budget.few, share: budget.share, window })
 }
 
+/// Of each caller, where there are quotas.
+fn quotas(staging: &Staging) -> Vec<f64> {
+    let all: f64 = staging.callers.iter().sum();
+    let quota = |quota: f64| staging.callers.iter().map(move |share| quota * share / all).collect();
+    staging.quota_per_s.map(quota).unwrap_or_default()
+}
+
+/// What a caller is called on the wire.
+pub fn caller_name(no: usize) -> String {
+    format!("u{no}")
+}
+
 pub fn build(cast: &Cast) -> Build {
     Build { cores: cast.cores, ..Build::default() }
 }
@@ -83,12 +98,15 @@
         };
         (CategoryNo(no as u16), category)
     };
+    let quota = |(no, quota_per_s)| (CallerNo(no), Caller { quota_per_s });
     let build = build(cast);
     Prescription {
         brokers: cast.brokers,
         period: PERIOD,
         send_lag: TRIP,
         categories: staging.categories.iter().enumerate().map(category).collect(),
+        callers: quotas(staging).into_iter().enumerate().map(|(no, q)| quota((no as u32, q))).collect(),
+        over_share_payoff: OVER_SHARE,
         layout: Layout { cells: cast.cells, reach: REACH, shards: staging.shards, per_call: 1 },
         limits: Limits {
             most_open: MOST_OPEN,
@@ -125,6 +143,8 @@
     let services: Vec<Value> = staging.categories.iter().map(service).collect();
     let all =
         |value: fn(&trace::plan::Cast) -> f64| staging.categories.iter().map(value).collect::<Vec<f64>>();
+    let tenant = |(no, quota): (usize, f64)| json!({"Name": caller_name(no), "QuotaRps": quota});
+    let tenants: Vec<Value> = quotas(staging).into_iter().enumerate().map(tenant).collect();
     let build = build(cast);
     let mut rules = json!({"AskWithinMs": ASK_WITHIN.as_ms(), "ColdFrom": build.cold_share,
         "WarmUpMs": build.warm_after.as_ms(), "OverloadFactor": build.fall_multiple,
@@ -135,7 +155,7 @@
         rules["BudgetWindowMs"] = json!(budget.window_ms);
     }
     json!({"Instances": cast.brokers, "PeriodMs": PERIOD.as_ms(), "RegistryMode": "automatic", "Areas": ["hall"],
-        "Zone": 0, "Tenants": [], "Prices": {"LateFail": 0.0}, "Services": services,
+        "Zone": 0, "Tenants": tenants, "OverShareWorth": OVER_SHARE, "Prices": {"LateFail": 0.0}, "Services": services,
         "Domain": {"Cells": cast.cells, "Reach": REACH, "Ranges": staging.shards, "PerCall": 1,
             "CompleteFrom": all(|_| 1.0), "MinShare": all(|told| told.least), "FetchParts": vec![0; staging.categories.len()]},
         "Limits": {"ConnIdleMs": 600_000.0, "ConnectTimeoutMs": 1000.0, "MaxAttempts": MOST_PUSHES,
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -129,6 +129,12 @@
     /// The share of removed machines that drain first.
     #[arg(long, default_value_t = 0.5)]
     pub drains: f64,
+    /// Callers that the trace's users are mapped onto: a user is one caller's, always.
+    #[arg(long, default_value_t = 1)]
+    pub callers: u32,
+    /// Retrievals a second that all callers together may ask within their shares; none: no quotas.
+    #[arg(long)]
+    pub quota: Option<f64>,
     /// Beside retrievals that may run again, a numbered and an at-most-once category.
     #[arg(long)]
     pub effects: bool,
@@ -176,7 +182,9 @@
             host_ms_per_s: self.host_ms_per_s,
             shards: self.shards,
             categories,
-            callers: vec![1.0],
+            // A few ask much, most ask little.
+            callers: (1..=self.callers.max(1)).map(|rank| 1.0 / f64::from(rank)).collect(),
+            quota_per_s: self.quota,
             drains: self.drains,
             drain_for: 20_000,
             budget: self.budget.map(|share| Budget { few: 3.0, share, window_ms: 5000 }),
@@ -331,6 +339,7 @@
     println!("worst 10 s         {:.4}", outcome.worst_window());
     for key in [
         "by_category",
+        "by_caller",
         "retrievals",
         "answered",
         "declined",
--- a/crates/trace/src/plan.rs
+++ b/crates/trace/src/plan.rs
@@ -30,6 +30,8 @@
     pub categories: Vec<Cast>,
     /// The callers' shares of the trace's users: a user is one caller's, always.
     pub callers: Vec<f64>,
+    /// Retrievals a second that all callers together may ask, split by their shares; none: no quotas.
+    pub quota_per_s: Option<f64>,
     /// The share of removed machines that drain first; the others die.
     pub drains: f64,
     /// Tenths of a millisecond from a drain to the host's end.
--- a/crates/trace/tests/plans.rs
+++ b/crates/trace/tests/plans.rs
@@ -29,6 +29,7 @@
         shards: 16,
         categories: vec![cast("report", 1.0, (4, 8)), cast("lookup", 3.0, (1, 2))],
         callers: vec![1.0, 2.0],
+        quota_per_s: None,
         drains: 0.0,
         drain_for: 5000,
         budget: None,
