A cold node's share is reckoned in time, by what a category's parts take

Change: a category's pace is the least that its smoothed latency ever was, once 32 were heard; cold pushes weigh by it. One category alone is as before. Harm: under load from the first moment a pace is too long, and a cold node is asked less.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -4,7 +4,7 @@
 //! `TABLE` first, the life of a retrieval, then `ENDS`, what each end of a push means. The rest serves them.
 
 use crate::effects::Effect;
-use crate::ids::{NodeId, PartId, PushNo, RetrievalId};
+use crate::ids::{CategoryNo, NodeId, PartId, PushNo, RetrievalId};
 use crate::inputs::{Input, NewRetrieval, PushEnd, PushOutcome, Roll};
 use crate::prescription::{Category, EffectKind, FurtherBudget, Layout, Prescription};
 use crate::state::Signal::{self, CallerLeft, CutOffNear, GoalNear, PartIn, PartLost, Ready, Said};
@@ -26,6 +26,8 @@
 const ROUNDING: f64 = 0.00005;
 /// A new latency counts for this share of a node's smoothed one.
 const NEWEST: f64 = 0.25;
+/// So many latencies make a mean that luck does not bend.
+const STEADY: f64 = 32.0;
 /// Before anything was heard, a part lasts this share of the shortest goal time.
 const GUESS: f64 = 0.125;
 /// Patience with a push, in average latencies, and its bounds (the lower for room too) in goal times.
@@ -163,9 +165,6 @@
     pub fn turn(&mut self, now: Tenths, inputs: &[Input]) -> Vec<Effect> {
         self.s.now = now;
         self.s.average = self.s.mean_latency();
-        if self.s.ready_heard * 2 >= self.s.ready {
-            self.s.briskest = self.s.briskest.into_iter().chain(self.s.average).min();
-        }
         self.s.past.retain(|(until, _)| *until > now);
         let longest = self.binding().map(|terms| terms.further.window).max().unwrap_or_default();
         self.s.forget(now - longest + self.leaves_by(), now - longest - self.leaves_by());
@@ -361,7 +360,7 @@
         let idle = |n: &Node| n.calls.is_empty() && n.failures == 0;
         let nodes = self
             .holders(&r.terms.prescription.layout, part)
-            .filter(|id| self.has_room(id))
+            .filter(|id| self.has_room(*id, r.category))
             .map(|id| &self.s.nodes[&id]);
         let wait = nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) }).min();
         wait.is_none_or(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
@@ -450,20 +449,23 @@
         }
         let part = &mut r.parts[at];
         let may = !held && (!further || self.further_left());
-        let Some(node) = self.choose(&r.terms.prescription.layout, part).filter(|_| may) else {
+        let Some(node) = self.choose(&r.terms.prescription.layout, r.category, part).filter(|_| may) else {
             // No holder may have it now, or the budget is spent: it waits while that can help.
             part.stage = if part.out() > 0 { PartStage::Out } else { PartStage::Wanted };
             return self.later(goal, Due::Again(part.id));
         };
         let no = PushNo(part.pushes.len() as u16);
-        let (id, within_share, out) = (part.id, r.within_share, self.s.out_at_turn);
+        let (id, within_share, category, out) = (part.id, r.within_share, r.category, self.s.out_at_turn);
         let crowded = out >= self.s.room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
         let (lull, cold) = (self.line_after_lull(node), self.is_cold(node));
-        let call = self.s.board(node, self.terms.prescription.layout.per_call, cold, lull);
+        let call =
+            self.s.board(node, self.terms.prescription.layout.per_call, cold.then_some(r.category), lull);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out });
-        self.s.tickets.insert((id, no), Ticket { node, call, within_share, goal, out, crowded, lull });
+        self.s
+            .tickets
+            .insert((id, no), Ticket { node, call, within_share, category, goal, out, crowded, lull });
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(r.goal), Due::Look(id, no)));
@@ -476,11 +478,11 @@
 
     /// The replica rule: least smoothed latency x (own calls out + 1), where joining a call of this
     /// turn opens no other. Close calls go to the own zone, then to a call of this turn, then by lot.
-    fn choose(&mut self, layout: &Layout, part: &Part) -> Option<NodeId> {
+    fn choose(&mut self, layout: &Layout, category: CategoryNo, part: &Part) -> Option<NodeId> {
         let open = |id: &NodeId| part.pushes.iter().all(|p| p.node != *id || p.fate != Fate::Out);
         let tried = |id: &NodeId| part.pushes.iter().any(|p| p.node == *id);
         let usable: Vec<NodeId> =
-            self.holders(layout, part).filter(|id| open(id) && self.has_room(id)).collect();
+            self.holders(layout, part).filter(|id| open(id) && self.has_room(*id, category)).collect();
         let all_tried = usable.iter().all(tried);
         let worth = usable.iter().filter(|id| all_tried || !tried(id));
         let score = |node: &Node| {
@@ -540,7 +542,7 @@
             let may = limits.copies || overtaken && limits.may_withdraw;
             let again = lost && may && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
             let elsewhere = self
-                .choose(&r.terms.prescription.layout, &r.parts[at])
+                .choose(&r.terms.prescription.layout, r.category, &r.parts[at])
                 .map(|id| self.latency(&self.s.nodes[&id]));
             let faster = elsewhere.is_some_and(|there| there < here && now + there < r.goal_at);
             if again && faster && self.further_left() {
@@ -632,6 +634,9 @@
             self.s.count_harm(SPAN, ticket.within_share, f64::from(u8::from(harm)), 1.0);
             self.fit_room(ticket, outcome.took);
         }
+        if outcome.end == PushEnd::Finished {
+            self.s.paces.entry(ticket.category).or_default().note(outcome.took, STEADY);
+        }
         self.s.amend(ticket.node, |node| {
             node.leave(ticket.call);
             let early = node.latency.is_some_and(|l| outcome.took < l);
@@ -704,32 +709,38 @@
     }
 
     /// Rule 4, whatever the other brokers send: a cold node gets this broker's even share of what it bears:
-    /// one part at a time at the lowest average latency, times the share it has warmed to at the least. While
-    /// it fails again and again, as one that refuses connections, it gets one push a window.
-    fn has_room(&self, id: &NodeId) -> bool {
-        !self.is_cold(*id) || self.binding().all(|terms| self.bears(*id, &terms.prescription))
+    /// one part at a time, times the share it has warmed to at the least. A part is as long as its category's
+    /// ever were on average: by what all parts take, long ones brought nodes down. While it fails again and
+    /// again, as one that refuses connections, it gets one push a window.
+    fn has_room(&self, id: NodeId, category: CategoryNo) -> bool {
+        !self.is_cold(id) || self.binding().all(|terms| self.bears(id, category, &terms.prescription))
+    }
+
+    fn pace(&self, category: CategoryNo) -> f64 {
+        let least = self.s.paces.get(&category).and_then(|pace| pace.least);
+        least.unwrap_or(self.average()).max(Tenths(1)).0 as f64
     }
 
     /// Where a share is less than one push a window, the window is longer, and the first push has its lot in it.
     /// Guards against brokers that hear of a start together and send one each at once: a node fell over by
     /// what each alone may send. Harm: it is asked later.
-    fn bears(&self, id: NodeId, terms: &Prescription) -> bool {
-        let node = &self.s.nodes[&id];
-        let rules = &terms.rules;
+    fn bears(&self, id: NodeId, category: CategoryNo, terms: &Prescription) -> bool {
+        let (rules, node) = (&terms.rules, &self.s.nodes[&id]);
         let age = (self.s.now - node.started.unwrap_or_default()).max(Tenths::ZERO).over(rules.warm_after);
         if age >= 1.0 {
             return true;
         }
         let share = rules.cold_share + (1.0 - rules.cold_share) * age;
-        let alone = rules.fall_window.over(self.s.briskest.unwrap_or(self.average()));
         let (all, start) = (f64::from(terms.brokers.max(1)), node.start_heard);
-        let mine = rules.fall_multiple * share * alone / all;
-        let window = rules.fall_window.times(1.0 / mine.clamp(0.001, 1.0));
+        let mine = rules.fall_window.times(rules.fall_multiple * share / all).0.max(1) as f64;
+        let cost = self.pace(category);
+        let window = rules.fall_window.times((cost / mine).clamp(1.0, 1000.0));
         let lot = fastrand::Rng::with_seed(self.seed ^ id.0.rotate_left(32) ^ start.0 as u64).f64();
         let waits = self.s.now - start < (window - rules.fall_window).times(lot * (1.0 - 1.0 / all));
         let since = self.s.now - window;
-        let lately = node.cold_pushes.iter().rev().take_while(|at| **at >= since).count();
-        !waits && lately < if node.failures > 1 { 1 } else { mine.max(1.0) as usize }
+        let lately = node.cold_pushes.iter().rev().take_while(|(at, _)| *at >= since);
+        let sent: f64 = lately.map(|(_, category)| self.pace(*category)).sum();
+        !waits && (sent == 0.0 || node.failures <= 1 && sent + cost <= mine)
     }
 
     // ---- the roll
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -42,6 +42,7 @@
     pub node: NodeId,
     pub call: CallNo,
     pub within_share: bool,
+    pub category: CategoryNo,
     /// The goal time of its category.
     pub goal: Tenths,
     /// Parts out after the turn in which it was sent.
@@ -159,7 +160,27 @@
     pub riding: Option<(CallNo, u32)>,
     pub line: Option<(Line, Tenths)>,
     /// When pushes went to it while it was cold.
-    pub cold_pushes: VecDeque<Tenths>,
+    pub cold_pushes: VecDeque<(Tenths, CategoryNo)>,
+}
+
+/// How long a category's parts take: the least that their smoothed latency ever was.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    heard: f64,
+    mean: f64,
+    pub least: Option<Tenths>,
+}
+
+impl Pace {
+    /// Takes in a latency; before so many were heard there is no pace.
+    pub fn note(&mut self, took: Tenths, steady: f64) {
+        self.heard = (self.heard + 1.0).min(steady);
+        self.mean += (took.0 as f64 - self.mean) / self.heard;
+        if self.heard >= steady {
+            let mean = Tenths(self.mean as i64);
+            self.least = Some(self.least.map_or(mean, |least| least.min(mean)));
+        }
+    }
 }
 
 /// A count that fades with time.
@@ -261,8 +282,7 @@
     pub next_call: CallNo,
     /// Smoothed latency over the nodes heard of.
     pub average: Option<Tenths>,
-    /// The lowest it has been.
-    pub briskest: Option<Tenths>,
+    pub paces: BTreeMap<CategoryNo, Pace>,
     /// Over all parts, and over those of callers within their share.
     pub pressure: [Gauge; 2],
     pub cutting: bool,
@@ -470,7 +490,13 @@
     }
 
     /// The call that a push of this turn to this node travels in.
-    pub fn board(&mut self, id: NodeId, per_call: u32, cold: bool, line: Option<(Line, Tenths)>) -> CallNo {
+    pub fn board(
+        &mut self,
+        id: NodeId,
+        per_call: u32,
+        cold: Option<CategoryNo>,
+        line: Option<(Line, Tenths)>,
+    ) -> CallNo {
         let now = self.now;
         let node = self.nodes.entry(id).or_default();
         let (call, parts) = match node.riding {
@@ -483,9 +509,7 @@
         (node.riding, node.line) = (Some((call, parts)), line);
         self.boarded.push(id);
         node.calls.entry(call).or_insert(Call { sent: now, parts_out: 0 }).parts_out += 1;
-        if cold {
-            node.cold_pushes.push_back(now);
-        }
+        node.cold_pushes.extend(cold.map(|category| (now, category)));
         call
     }
 
