--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -1,12 +1,11 @@
-//! The operator's file, `deploy/operator.ini`: what is switched on at an installation, and how. Without the
-//! file, or with an empty one, everything in it is off.
+//! The operator's file, `deploy/operator.ini`: what is switched on at an installation, and how. Without the file,
+//! or with an empty one, everything in it is off.
 //!
 //! ```
 //! let fitting = operator::read("[control]\nservices = 127.0.0.1:18000\ninstallation = north\n").unwrap();
 //! assert_eq!(fitting.control.unwrap().installation, "north");
 //! let mistakes = operator::read("[control]\nservise = 127.0.0.1:18000\n").unwrap_err();
-//! assert_eq!(mistakes[0].to_string(), "line 2: `servise` is no key of [control]: `services` is the
-//! nearest");
+//! assert_eq!(mistakes[0].to_string(), "line 2: `servise` is no key of [control]: `services` is the nearest");
 //! ```
 
 mod keys;
