--- /dev/null
+++ b/crates/incidents/src/library.rs
@@ -0,0 +1,41 @@
+//! The scenarios that come with the product. What each is about stands in its text.
+
+macro_rules! library {
+    ($($name:literal,)*) => {
+        /// Names and texts.
+        pub const LIBRARY: &[(&str, &str)] =
+            &[$(($name, include_str!(concat!("../scenarios/", $name, ".ini"))),)*];
+    };
+}
+
+library![
+    "brokers-start-anew",
+    "cold-return",
+    "cut-off-hall",
+    "cut-one-way",
+    "drained-while-cold",
+    "far-hall",
+    "gray-hall",
+    "gray-hosts",
+    "hall-falls-silent",
+    "hall-lost-at-the-rush",
+    "heavy-tail",
+    "killer-query",
+    "one-busy-broker",
+    "overload-by-retries",
+    "pauses-past-the-cut-off",
+    "quick-errors",
+    "refusals",
+    "release-in-waves",
+    "release-too-fast",
+    "retries-and-cold-hosts",
+    "returns-while-another-falls",
+    "roll-is-late",
+    "roll-silent-during-a-drain",
+    "short-pauses",
+];
+
+/// The text of this name.
+pub fn find(name: &str) -> Option<&'static str> {
+    LIBRARY.iter().find(|(other, _)| *other == name).map(|(_, text)| *text)
+}
