Scripted incidents are played in virtual time: barleydrum-lab rehearse

Need: what brokers do when a hall is lost can't be learned live. A part counts as sent when it left.

--- /dev/null
+++ b/crates/lab/src/incident.rs
@@ -0,0 +1,347 @@
+//! `rehearse`: scripted incidents in virtual time, at any size, by several seeds side by side, beside a baseline on the
+//! same days. All figures are simulated. The same scenario, size and seed give the same digest.
+
+use crate::outcome::Outcome;
+use crate::rehearse::{Cast, Mind, World};
+use crate::report;
+use crate::weather::Weather;
+use barleydrum::Tenths;
+use clap::Args;
+use incidents::{Act, Fleet, LIBRARY, Moment, Scenario, find};
+use rayon::prelude::*;
+use serde_json::{Value, json};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use trace::plan::{Cast as Role, Entry, Happens, HostEvent, Plan, Repeats, Staging};
+
+#[derive(Args, Clone)]
+pub struct Rehearsed {
+    /// One of the library (see `--list`), a file of one's own, or `all`.
+    #[arg(default_value = "all")]
+    scenario: String,
+    /// What there is in the library, and what each is about.
+    #[arg(long)]
+    list: bool,
+    #[arg(long, default_value_t = 60)]
+    hosts: u32,
+    #[arg(long, default_value_t = 30)]
+    brokers: u32,
+    #[arg(long, default_value_t = 3)]
+    halls: u32,
+    /// Days with seeds from `--seed` on.
+    #[arg(long, default_value_t = 3)]
+    seeds: u64,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value = "module")]
+    mind: Mind,
+    /// The same days by this one too; the difference is told with its bounds.
+    #[arg(long)]
+    against: Option<Mind>,
+    #[arg(long)]
+    json: bool,
+    /// A page of plots of the first seed's day.
+    #[arg(long, value_name = "FILE")]
+    report: Option<PathBuf>,
+}
+
+/// Hosts of a cell; milliseconds of work of a part, on average; cores of a host.
+const CELL: u32 = 5;
+const PART_MS: f64 = 40.0;
+const CORES: usize = 4;
+/// Shares, and parts from and to, of reports and lookups.
+const REPORTS: f64 = 0.25;
+const REPORT_PARTS: (u32, u32) = (8, 24);
+const LOOKUP_PARTS: (u32, u32) = (1, 4);
+
+fn staging(hosts: u32, scenario: &Scenario, seed: u64) -> Staging {
+    let role = |name: &str, share, parts, skew, payoff, least| Role {
+        name: name.to_owned(),
+        share,
+        parts,
+        skew,
+        cut_off: 5000,
+        payoff,
+        least,
+        repeats: Repeats::Reissuable,
+    };
+    Staging {
+        seed,
+        from: 0,
+        to: (scenario.seconds * 1e6) as u64,
+        stretch: 1.0,
+        sample: 1.0,
+        load: scenario.load,
+        hosts,
+        host_ms_per_s: CORES as f64 * 1000.0,
+        shards: (hosts * 2).max(REPORT_PARTS.1),
+        categories: vec![
+            role("report", REPORTS, REPORT_PARTS, 1.0, 3.0, 0.4),
+            role("lookup", 1.0 - REPORTS, LOOKUP_PARTS, 0.0, 1.0, 1.0),
+        ],
+        callers: vec![1.0],
+        quota_per_s: None,
+        drains: 0.0,
+        drain_for: 20_000,
+        budget: None,
+        most: 50_000_000,
+    }
+}
+
+/// How much more is asked at a moment, and which share is how many times the work.
+struct Demand<'a>(&'a [Moment]);
+
+impl Demand<'_> {
+    fn at(&self, now: Tenths) -> (f64, f64, f64) {
+        let (mut times, mut heavy) = (1.0, (0.0, 1.0));
+        for moment in self.0.iter().take_while(|moment| moment.at <= now) {
+            match moment.act {
+                Act::Storm { times: more, begins } => times *= if begins { more } else { 1.0 / more },
+                Act::Heavy { share, times, begins } => {
+                    heavy = if begins { (share, times) } else { (0.0, 1.0) }
+                }
+                _ => {}
+            }
+        }
+        (times, heavy.0, heavy.1)
+    }
+}
+
+fn exponential(rng: &mut fastrand::Rng) -> f64 {
+    -(1.0 - rng.f64()).ln()
+}
+
+/// What is asked: arrivals by lot at the rate that offers the load, more of them in a storm.
+fn plan(staging: &Staging, script: &[Moment], seconds: f64) -> Plan {
+    let mut rng = fastrand::Rng::with_seed(staging.seed ^ 0xa5c);
+    let mean = |(from, to): (u32, u32)| f64::from(from + to) / 2.0;
+    let parts = REPORTS * mean(REPORT_PARTS) + (1.0 - REPORTS) * mean(LOOKUP_PARTS);
+    let a_second = staging.load * f64::from(staging.hosts) * staging.host_ms_per_s / (parts * PART_MS);
+    let changes: Vec<Moment> = script
+        .iter()
+        .filter(|moment| matches!(moment.act, Act::Storm { .. } | Act::Heavy { .. }))
+        .copied()
+        .collect();
+    let demand = Demand(&changes);
+    let mut entries: Vec<Entry> = (0..staging.hosts)
+        .map(|host| Entry { at: 0, what: Happens::Host { host, event: HostEvent::Warm } })
+        .collect();
+    let mut at = 0.2;
+    loop {
+        let (times, share, more) = demand.at(Tenths::from_ms(at * 1000.0));
+        at += exponential(&mut rng) / (a_second * times);
+        if at >= seconds {
+            break;
+        }
+        let category = usize::from(rng.f64() >= REPORTS);
+        let Role { parts: (from, to), skew, .. } = staging.categories[category];
+        let count = rng.u32(from..=to);
+        let raw: Vec<f64> = (1..=count).map(|rank| f64::from(rank).powf(-skew)).collect();
+        let total: f64 = raw.iter().sum();
+        let first = rng.u32(..staging.shards);
+        let times = if rng.f64() < share { more } else { 1.0 };
+        let part = |(rank, weight): (u32, f64)| {
+            let us = (exponential(&mut rng) * PART_MS * times * 1000.0) as u64;
+            ((first + rank) % staging.shards, weight / total, us.max(100))
+        };
+        let parts = (0..).zip(raw).map(part).collect();
+        entries.push(Entry { at: (at * 10_000.0) as u64, what: Happens::Ask { category, caller: 0, parts } });
+    }
+    Plan { entries, jobs_out: 0, machines_out: 0, running: 0, ms_per_unit: 1.0 }
+}
+
+/// One day of a scenario.
+pub struct Day<'a> {
+    pub scenario: &'a Scenario,
+    pub hosts: u32,
+    pub brokers: u32,
+    pub halls: u32,
+    pub seed: u64,
+    pub mind: Mind,
+}
+
+impl Day<'_> {
+    pub fn play(&self) -> Outcome {
+        let Day { scenario, hosts, brokers, halls, seed, mind } = *self;
+        let cells = (hosts / CELL).max(halls).max(1);
+        let fleet = Fleet { hosts, halls, cells, brokers };
+        let script = scenario.script(&fleet, seed);
+        let staging = staging(hosts, scenario, seed);
+        let plan = plan(&staging, &script, scenario.seconds);
+        let (near, far) = (Tenths::from_ms(scenario.near_ms), Tenths::from_ms(scenario.far_ms));
+        let weather = Weather::new(fleet, near, far, seed);
+        let cast = Cast { brokers, mind, seed, cells, cores: CORES };
+        World::scripted(plan, &staging, cast, (weather, script, scenario.clients)).play(|_, _| true)
+    }
+
+    /// When the last trouble is over, in whole seconds.
+    fn over(&self) -> usize {
+        let last =
+            self.scenario.troubles.iter().map(|trouble| trouble.at + trouble.lasts).fold(0.0, f64::max);
+        last.min(self.scenario.seconds).ceil() as usize
+    }
+}
+
+/// Service at which a second is sound again, and how many in a row.
+const SOUND: f64 = 0.95;
+const STEADY: usize = 3;
+
+/// Seconds from the end of the last trouble until service is sound for good measure; none: not in this day.
+fn recovers(outcome: &Outcome, over: usize) -> Option<usize> {
+    let sound = |second: &crate::outcome::Second| second.service.told().is_none_or(|share| share >= SOUND);
+    let after = outcome.seconds.get(over..)?;
+    let asked = after.iter().rposition(|second| second.asked > 0).map_or(0, |last| last + 1);
+    after[..asked].windows(STEADY.min(asked.max(1))).position(|row| row.iter().all(sound))
+}
+
+/// Mean, and half of the span that holds it in nineteen of twenty, by the spread of few figures.
+fn bounds(figures: &[f64]) -> (f64, Option<f64>) {
+    let n = figures.len() as f64;
+    let mean = figures.iter().sum::<f64>() / n.max(1.0);
+    // Student's factors for one to nine degrees of freedom; beyond, near enough to two.
+    const FACTORS: [f64; 9] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26];
+    let spread = (figures.iter().map(|f| (f - mean).powi(2)).sum::<f64>() / (n - 1.0)).sqrt();
+    let factor = FACTORS.get(figures.len().wrapping_sub(2)).copied().unwrap_or(2.0);
+    (mean, (figures.len() > 1).then(|| factor * spread / n.sqrt()))
+}
+
+fn told(days: &[Outcome], over: usize) -> Value {
+    let mean =
+        |figure: &dyn Fn(&Outcome) -> f64| days.iter().map(figure).sum::<f64>() / days.len().max(1) as f64;
+    let mut broken: Vec<&str> = days.iter().flat_map(|day| day.broken.keys().copied()).collect();
+    broken.sort_unstable();
+    broken.dedup();
+    let recovered: Vec<Option<usize>> = days.iter().map(|day| recovers(day, over)).collect();
+    json!({"service": mean(&|day| day.service.share()), "worst_10_s": mean(&Outcome::worst_window),
+        "declined": mean(&|day| day.declined as f64 / day.retrievals.max(1) as f64),
+        "pushes_a_retrieval": mean(&|day| day.pushes as f64 / day.retrievals.max(1) as f64),
+        "tries_a_retrieval": mean(&|day| day.tries as f64 / day.retrievals.max(1) as f64),
+        "recovers_s": recovered, "broken": broken,
+        "digests": days.iter().map(|day| day.digest[..16].to_owned()).collect::<Vec<_>>()})
+}
+
+fn scenarios(which: &str) -> Result<Vec<Scenario>, String> {
+    let read = |name: &str, text: &str| {
+        let wrong = |mistakes: Vec<incidents::Mistake>| {
+            mistakes.iter().map(|mistake| format!("{name}: {mistake}")).collect::<Vec<_>>().join("\n")
+        };
+        Scenario::read(name, text).map_err(wrong)
+    };
+    match (which, find(which)) {
+        ("all", _) => LIBRARY.iter().map(|(name, text)| read(name, text)).collect(),
+        (name, Some(text)) => Ok(vec![read(name, text)?]),
+        (path, None) => {
+            let text = std::fs::read_to_string(path)
+                .map_err(|e| format!("{path}: {e}; neither a file nor in the library (--list)"))?;
+            Ok(vec![read(path, &text)?])
+        }
+    }
+}
+
+pub fn run(words: &Rehearsed) -> ExitCode {
+    let all = match scenarios(&words.scenario) {
+        Ok(all) => all,
+        Err(why) => {
+            eprintln!("barleydrum-lab: {why}");
+            return ExitCode::from(2);
+        }
+    };
+    if words.list {
+        all.iter().for_each(|scenario| println!("{:<28} {}", scenario.name, scenario.about));
+        return ExitCode::SUCCESS;
+    }
+    let seeds: Vec<u64> = (words.seed..words.seed + words.seeds.max(1)).collect();
+    let minds: Vec<Mind> = std::iter::once(words.mind).chain(words.against).collect();
+    let mut days = Vec::new();
+    for (no, scenario) in all.iter().enumerate() {
+        for mind in &minds {
+            days.extend(seeds.iter().map(|seed| (no, scenario, *mind, *seed)));
+        }
+    }
+    let (hosts, brokers, halls) = (words.hosts.max(1), words.brokers.max(1), words.halls.max(1));
+    let played: Vec<Outcome> = days
+        .into_par_iter()
+        .map(|(_, scenario, mind, seed)| Day { scenario, hosts, brokers, halls, seed, mind }.play())
+        .collect();
+    let mut rows = Vec::new();
+    let mut sound = true;
+    for (scenario, days) in all.iter().zip(played.chunks(seeds.len() * minds.len())) {
+        let (mine, theirs) = days.split_at(seeds.len());
+        let over = Day { scenario, hosts, brokers, halls, seed: 0, mind: words.mind }.over();
+        let mut row = told(mine, over);
+        sound &= row["broken"].as_array().is_some_and(Vec::is_empty);
+        (row["scenario"], row["about"]) = (json!(scenario.name), json!(scenario.about));
+        if !theirs.is_empty() {
+            let better: Vec<f64> =
+                mine.iter().zip(theirs).map(|(a, b)| a.service.share() - b.service.share()).collect();
+            let (mean, half) = bounds(&better);
+            row["against"] = told(theirs, over);
+            row["better_by"] = json!({"mean": mean, "half_span_95": half});
+        }
+        rows.push(row);
+    }
+    rows.sort_by(|a, b| {
+        a["service"].as_f64().unwrap_or(0.0).total_cmp(&b["service"].as_f64().unwrap_or(0.0))
+    });
+    if words.json {
+        let size = json!({"hosts": hosts, "brokers": brokers, "halls": halls, "seeds": seeds});
+        println!(
+            "{}",
+            json!({"simulated": true, "size": size, "mind": format!("{:?}", words.mind), "scenarios": rows})
+        );
+    } else {
+        print_rows(&rows, words);
+    }
+    if let (Some(path), Some(day)) = (&words.report, played.first()) {
+        let title =
+            format!("simulated: {}, {hosts} hosts, {brokers} brokers, seed {}", all[0].name, seeds[0]);
+        if let Err(why) = report::write(path, day, &day.json(), &title) {
+            eprintln!("barleydrum-lab: {}: {why}", path.display());
+            return ExitCode::from(2);
+        }
+    }
+    // A baseline is what it is.
+    if sound || words.mind != Mind::Module { ExitCode::SUCCESS } else { ExitCode::from(1) }
+}
+
+fn print_rows(rows: &[Value], words: &Rehearsed) {
+    println!(
+        "simulated: {} hosts in {} halls, {} brokers, seeds {} to {}, {:?}; worst first",
+        words.hosts,
+        words.halls,
+        words.brokers,
+        words.seed,
+        words.seed + words.seeds.max(1) - 1,
+        words.mind
+    );
+    println!("{:<28} service  worst 10 s  declined  pushes  recovers, s", "scenario");
+    for row in rows {
+        let figure = |key: &str| row[key].as_f64().unwrap_or(f64::NAN);
+        let recovers: Vec<String> = row["recovers_s"]
+            .as_array()
+            .into_iter()
+            .flatten()
+            .map(|s| s.as_u64().map_or("-".to_owned(), |s| s.to_string()))
+            .collect();
+        print!(
+            "{:<28} {:>7.4} {:>11.4} {:>9.3} {:>7.2}  {:<12}",
+            row["scenario"].as_str().unwrap_or(""),
+            figure("service"),
+            figure("worst_10_s"),
+            figure("declined"),
+            figure("pushes_a_retrieval"),
+            recovers.join(" ")
+        );
+        if let Some(mean) = row["better_by"]["mean"].as_f64() {
+            let half = row["better_by"]["half_span_95"].as_f64();
+            print!("  better by {mean:+.4}{}", half.map_or(String::new(), |half| format!(" +- {half:.4}")));
+        }
+        println!();
+        for rule in row["broken"].as_array().into_iter().flatten() {
+            println!("    RULE BROKEN  {}", rule.as_str().unwrap_or(""));
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/incident/tests.rs
@@ -0,0 +1,27 @@
+use super::*;
+use rstest::rstest;
+
+fn day(name: &str, seed: u64, mind: Mind) -> Outcome {
+    let scenario = Scenario::read(name, find(name).unwrap()).unwrap();
+    Day { scenario: &scenario, hosts: 6, brokers: 3, halls: 3, seed, mind }.play()
+}
+
+/// The same scenario and seed, the same digest; another seed or another mind, another.
+#[rstest]
+fn the_same_day_each_time() {
+    let digest = |seed, mind| day("hall-lost-at-the-rush", seed, mind).digest;
+    let first = digest(1, Mind::Module);
+    assert_eq!(digest(1, Mind::Module), first);
+    assert_ne!(digest(2, Mind::Module), first);
+    assert_ne!(digest(1, Mind::Design), first);
+}
+
+/// Every scenario is played to its end: each retrieval has one end, none is lost, and the rules are kept.
+#[rstest]
+fn keeps_the_rules_in_the_library() {
+    LIBRARY.par_iter().for_each(|(name, _)| {
+        let outcome = day(name, 1, Mind::Module);
+        assert!(outcome.broken.is_empty(), "{name}: {}", outcome.json());
+        assert!(outcome.retrievals > 500, "{name}");
+    });
+}
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -419,7 +419,7 @@
         self.hasher.update(format!("{} {host} {}\n", self.now.0, part.id).as_bytes());
         self.outcome.push(self.now);
         let (no, us) = self.part_of(&part.id).unwrap_or((PartNo(usize::MAX), 0));
-        self.audit.arrived(self.now, no, self.told[host]);
+        self.audit.arrived(self.now, self.now, no, self.told[host]);
         self.next_job += 1;
         let job = JobNo(self.next_job);
         match self.hosts[host].take(self.now, job, us) {
@@ -509,7 +509,7 @@
         let of = Of { category, caller, at: self.now };
         self.outcome.ask(of);
         let weights: Vec<f64> = told.iter().map(|(_, weight, _)| *weight).collect();
-        let PartNo(first) = self.audit.asked(self.now, broker, category, &weights);
+        let PartNo(first) = self.audit.asked(self.now, broker, category, self.time_of(category), &weights);
         let parts = told.iter().map(|(shard, _, us)| (*shard, *us)).collect();
         self.retrievals.push(Retrieval { broker, of, first, parts });
         let slices: Vec<(u32, f64)> = told.iter().map(|(shard, weight, _)| (*shard, *weight)).collect();
@@ -539,6 +539,10 @@
         self.rest().await
     }
 
+    fn time_of(&self, category: usize) -> Tenths {
+        Tenths::from_ms(f64::from(self.cut_offs[category]))
+    }
+
     fn end(&mut self, no: usize, reply: Option<(Reply, Client)>) {
         let Retrieval { broker, of, first, ref parts } = self.retrievals[no];
         let (status, body) = reply.as_ref().map_or((0, ""), |(reply, _)| (reply.status, &reply.body[..]));
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod baseline;
 mod demo;
 mod fleet;
+mod incident;
 mod lean;
 mod loopback;
 mod outcome;
@@ -15,6 +16,7 @@
 mod scene;
 mod traces;
 mod versions;
+mod weather;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
@@ -41,6 +43,8 @@
         #[arg(long, value_name = "FILE", default_value = "barleydrum-demo.html")]
         report: PathBuf,
     },
+    /// Play scripted incidents in virtual time, by several seeds, beside a baseline. Its figures are simulated.
+    Rehearse(incident::Rehearsed),
     /// Public cluster traces in CSV.
     Trace {
         #[command(subcommand)]
@@ -108,6 +112,7 @@
         Command::Trace { command: TraceCommand::Check { files, layout, tolerate, json } } => {
             return traces::check(&files, layout.as_deref(), tolerate, json);
         }
+        Command::Rehearse(words) => return incident::run(&words),
         Command::Demo { report } => return demo::run(report),
         Command::Trace { command: TraceCommand::Plan(planned) } => return traces::plan(&planned),
         Command::Trace { command: TraceCommand::Run(played) } => return traces::run(&played),
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -90,6 +90,9 @@
     pub declined: u64,
     pub scrapped: u64,
     pub pushes: u64,
+    /// Clients that left before their answer, and how often was asked in all.
+    pub left: u64,
+    pub tries: u64,
     /// Of those declined: how long after they were asked, in tenths of a millisecond, at the most.
     pub slowest_decline: Tenths,
     pub broken: BTreeMap<&'static str, Break>,
@@ -117,6 +120,8 @@
             declined: 0,
             scrapped: 0,
             pushes: 0,
+            left: 0,
+            tries: 0,
             slowest_decline: Tenths::ZERO,
             broken: BTreeMap::new(),
             digest: String::new(),
@@ -208,7 +213,7 @@
             self.broken.iter().map(|(rule, told)| ((*rule).to_owned(), json!(told.times))).collect();
         json!({"service": self.service.share(), "by_category": by_category, "by_caller": by_caller,
             "worst_10_s": self.worst_window(), "retrievals": self.retrievals, "answered": self.answered,
-            "declined": self.declined, "scrapped": self.scrapped, "pushes": self.pushes, "broken": broken,
+            "declined": self.declined, "scrapped": self.scrapped, "left": self.left, "tries": self.tries, "pushes": self.pushes, "broken": broken,
             "latency_ms": {"median": self.latency_ms(0.5), "p99": self.latency_ms(0.99),
                 "most": self.latency.max() as f64 / 10.0},
             "slowest_decline_ms": self.slowest_decline.as_ms(), "digest": self.digest,
--- a/crates/ledger-host/src/lib.rs
+++ b/crates/ledger-host/src/lib.rs
@@ -121,6 +121,8 @@
     ended: VecDeque<Tenths>,
     /// Work sent to it lately while cold, in microseconds.
     sent: VecDeque<(Tenths, u64)>,
+    /// It stands still until then.
+    still: Option<Tenths>,
 }
 
 const SECOND: Tenths = Tenths(10_000);
@@ -138,6 +140,7 @@
             queue: VecDeque::new(),
             ended: VecDeque::new(),
             sent: VecDeque::new(),
+            still: None,
         }
     }
 
@@ -174,6 +177,7 @@
             return Vec::new();
         }
         self.running.clear();
+        self.still = None;
         let mut lost: Vec<JobNo> = std::mem::take(&mut self.ends).into_keys().collect();
         lost.extend(self.queue.drain(..).map(|job| job.no));
         lost.sort();
@@ -185,6 +189,17 @@
         self.speed = share.clamp(0.01, 1.0);
     }
 
+    /// It stands still until then: what runs takes so much longer, and nothing else begins.
+    pub fn stand_still(&mut self, now: Tenths, until: Tenths) {
+        let since = self.still.filter(|still| *still > now).unwrap_or(now);
+        if until > since && self.state != Dead {
+            self.still = Some(until);
+            let later = |end: Tenths| end + (until - since);
+            self.running = self.running.iter().map(|(end, no)| (later(*end), *no)).collect();
+            self.ends.values_mut().for_each(|end| *end = later(*end));
+        }
+    }
+
     /// The share of its work that it can do now.
     pub fn share(&self, now: Tenths) -> f64 {
         let Some(started) = self.started else { return self.speed };
@@ -231,7 +246,8 @@
 
     fn begin(&mut self, now: Tenths, job: Job) {
         let tenths = (job.us as f64 / 100.0 / self.share(now)).ceil() as i64;
-        let end = now + Tenths(tenths.max(1));
+        let begins = self.still.map_or(now, |still| still.max(now));
+        let end = begins + Tenths(tenths.max(1));
         self.running.insert((end, job.no));
         self.ends.insert(job.no, end);
     }
