--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -82,7 +82,15 @@
     pub first: Tenths,
 }
 
+/// How near to its limit a rule came: 1 is the limit, and when.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Near {
+    pub ratio: f64,
+    pub at: Tenths,
+}
+
 pub struct Audit {
+    near: BTreeMap<&'static str, Near>,
     bounds: Bounds,
     parts: Vec<Part>,
     asked: Vec<Asked>,
@@ -96,13 +104,37 @@
 impl Audit {
     pub fn new(bounds: Bounds, brokers: usize) -> Audit {
         let books = vec![Books::default(); brokers];
-        Audit { bounds, parts: Vec::new(), asked: Vec::new(), books, broken: BTreeMap::new() }
+        Audit {
+            near: BTreeMap::new(),
+            bounds,
+            parts: Vec::new(),
+            asked: Vec::new(),
+            books,
+            broken: BTreeMap::new(),
+        }
     }
 
     pub fn broken(&self) -> &BTreeMap<&'static str, Break> {
         &self.broken
     }
 
+    /// How near each rule came to its limit, where anything came near it at all.
+    pub fn nearest(&self) -> &BTreeMap<&'static str, Near> {
+        &self.near
+    }
+
+    fn nears(&mut self, now: Tenths, rule: &'static str, ratio: f64) {
+        let near = self.near.entry(rule).or_insert(Near { ratio, at: now });
+        if ratio > near.ratio {
+            *near = Near { ratio, at: now };
+        }
+    }
+
+    /// A cold host was sent this share of what would make it fall over.
+    pub fn strained(&mut self, now: Tenths, ratio: f64) {
+        self.nears(now, "4: work sent to a cold host, of what makes it fall over", ratio);
+    }
+
     fn breaks(&mut self, now: Tenths, rule: &'static str) {
         self.broken.entry(rule).or_insert(Break { times: 0, first: now }).times += 1;
     }
@@ -153,6 +185,9 @@
             }
             _ => {}
         }
+        if told.0 != Standing::Ready {
+            self.nears(now, "3: sent after the word, of the grace", (sent - told.1).over(grace));
+        }
         if told.0 != Standing::Ready && sent - told.1 > grace + slack {
             self.breaks(now, "3: sent past the grace to a host that drains or is gone");
         }
@@ -170,7 +205,9 @@
         while books.again.pop_front_if(|at| *at < now - window).is_some() {}
         while books.taken.pop_front_if(|at| *at < now - window - slack).is_some() {}
         let allowed = floor + share * books.taken.len() as f64;
-        if books.again.len() as f64 > allowed {
+        let (again, share) = (books.again.len() as f64, books.again.len() as f64 / allowed.max(1.0));
+        self.nears(now, "6: further pushes in a window, of the budget", share);
+        if again > allowed {
             self.breaks(now, "6: more further pushes in a window than the budget allows");
         }
     }
@@ -206,6 +243,8 @@
             self.breaks(now, "1: a second final answer");
             return None;
         }
+        let cut_off = self.bounds.kinds[kind].cut_off;
+        self.nears(now, "1: a final answer, of the client's time", 1.0 - (until - now).over(cut_off));
         if now > until + self.bounds.slack {
             self.breaks(now, "1: a final answer past the client's time");
         }
@@ -241,6 +280,7 @@
         }
         let all: f64 = self.parts[parts].iter().map(|part| part.weight).sum();
         let share = if all > 0.0 { sum / all } else { 1.0 };
+        self.nears(now, "5: the least share, of what an answer held", least / share.max(ROUNDING));
         if share + ROUNDING < least {
             self.breaks(now, "5: an answer under the least share");
         }
@@ -297,6 +337,22 @@
         Audit::new(Bounds { kinds, budget, grace: Tenths(50), slack: Tenths(5) }, 1)
     }
 
+    #[rstest]
+    fn tells_how_near_a_rule_came() {
+        let mut audit = audit();
+        audit.asked(Tenths(0), 0, 0, Tenths(1000), &[0.5, 0.5]);
+        audit.arrived(Tenths(25), Tenths(25), PartNo(0), (Standing::Draining, Tenths(0)));
+        audit.arrived(Tenths(30), Tenths(30), PartNo(0), (Standing::Draining, Tenths(10)));
+        audit.strained(Tenths(40), 0.75);
+        audit.strained(Tenths(50), 0.25);
+        let told: Vec<(u8, f64, Tenths)> = audit
+            .nearest()
+            .iter()
+            .map(|(rule, near)| (rule.as_bytes()[0] - b'0', near.ratio, near.at))
+            .collect();
+        assert_eq!(told, [(3, 0.5, Tenths(25)), (4, 0.75, Tenths(40)), (6, 0.4, Tenths(30))]);
+    }
+
     /// What happens to one retrieval of two even parts, a step a word: `a0` part 0 arrives, `t0` is taken,
     /// `m0` made;
     /// `d` arrives at a host told to drain; `A01` answered by 0 and 1, whole; `P0` partial; `D` declined, `S`
--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -212,12 +212,18 @@
     let mut broken: Vec<&str> = days.iter().flat_map(|day| day.broken.keys().copied()).collect();
     broken.sort_unstable();
     broken.dedup();
+    let all = days.iter().flat_map(|day| &day.nearest);
+    // The first rule is nearest to its limit whenever a client waits to its cut-off; the others are the news.
+    let nearest = all.filter(|(rule, _)| !rule.starts_with('1') && !rule.starts_with('5'));
+    let nearest = nearest
+        .max_by(|a, b| a.1.ratio.total_cmp(&b.1.ratio))
+        .map(|(rule, near)| json!({"rule": rule, "ratio": near.ratio, "at_s": near.at.as_ms() / 1000.0}));
     let recovered: Vec<Option<usize>> = days.iter().map(|day| recovers(day, over)).collect();
     json!({"service": mean(&|day| day.service.share()), "worst_10_s": mean(&Outcome::worst_window),
         "declined": mean(&|day| day.declined as f64 / day.retrievals.max(1) as f64),
         "pushes_a_retrieval": mean(&|day| day.pushes as f64 / day.retrievals.max(1) as f64),
         "tries_a_retrieval": mean(&|day| day.tries as f64 / day.retrievals.max(1) as f64),
-        "recovers_s": recovered, "broken": broken,
+        "recovers_s": recovered, "broken": broken, "nearest": nearest,
         "digests": days.iter().map(|day| day.digest[..16].to_owned()).collect::<Vec<_>>()})
 }
 
@@ -337,6 +343,11 @@
             let half = row["better_by"]["half_span_95"].as_f64();
             print!("  better by {mean:+.4}{}", half.map_or(String::new(), |half| format!(" +- {half:.4}")));
         }
+        if let Some(rule) = row["nearest"]["rule"].as_str().filter(|_| words.against.is_none()) {
+            let (ratio, at) = (&row["nearest"]["ratio"], &row["nearest"]["at_s"]);
+            let told = |figure: &Value| figure.as_f64().unwrap_or(f64::NAN);
+            print!("  nearest: {rule}: {:.2} at {:.1} s", told(ratio), told(at));
+        }
         println!();
         for rule in row["broken"].as_array().into_iter().flatten() {
             println!("    RULE BROKEN  {}", rule.as_str().unwrap_or(""));
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -244,6 +244,7 @@
             self.audit.close(self.now);
         }
         self.outcome.broken = self.audit.broken().clone();
+        self.outcome.nearest = self.audit.nearest().clone();
         self.outcome.digest = self.hasher.finalize().to_hex().to_string();
         Ok(())
     }
@@ -422,7 +423,11 @@
         self.audit.arrived(self.now, self.now, no, self.told[host]);
         self.next_job += 1;
         let job = JobNo(self.next_job);
-        match self.hosts[host].take(self.now, job, us) {
+        let taken = self.hosts[host].take(self.now, job, us);
+        if self.hosts[host].is_cold(self.now) {
+            self.audit.strained(self.now, self.hosts[host].strain());
+        }
+        match taken {
             Taken::Begun | Taken::Queued => {
                 self.audit.taken(self.now, no);
                 // The same part again on one connection: the broker waits for the newer alone.
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,7 +1,7 @@
 //! What a day came to, whoever played it: service in the brief's terms, latencies, and what happened second
 //! by second.
 
-use crate::audit::Break;
+use crate::audit::{Break, Near};
 use barleydrum::Tenths;
 use hdrhistogram::Histogram;
 use serde_json::{Value, json};
@@ -98,6 +98,8 @@
     /// Of those declined: how long after they were asked, in tenths of a millisecond, at the most.
     pub slowest_decline: Tenths,
     pub broken: BTreeMap<&'static str, Break>,
+    /// How near each rule came to its limit.
+    pub nearest: BTreeMap<&'static str, Near>,
     /// BLAKE3 over what happened, in its order.
     pub digest: String,
     /// It was ended before all was played, at this moment.
@@ -127,6 +129,7 @@
             events: 0,
             slowest_decline: Tenths::ZERO,
             broken: BTreeMap::new(),
+            nearest: BTreeMap::new(),
             digest: String::new(),
             stopped_at: None,
         }
@@ -214,7 +217,10 @@
         let by_caller: Vec<Option<f64>> = self.by_caller.iter().map(Service::told).collect();
         let broken: serde_json::Map<String, Value> =
             self.broken.iter().map(|(rule, told)| ((*rule).to_owned(), json!(told.times))).collect();
-        json!({"service": self.service.share(), "by_category": by_category, "by_caller": by_caller,
+        let near = |near: &Near| json!({"ratio": near.ratio, "at_s": near.at.as_ms() / 1000.0});
+        let nearest: serde_json::Map<String, Value> =
+            self.nearest.iter().map(|(rule, told)| ((*rule).to_owned(), near(told))).collect();
+        json!({"nearest": nearest, "service": self.service.share(), "by_category": by_category, "by_caller": by_caller,
             "worst_10_s": self.worst_window(), "retrievals": self.retrievals, "answered": self.answered,
             "declined": self.declined, "scrapped": self.scrapped, "left": self.left, "tries": self.tries, "pushes": self.pushes, "broken": broken,
             "latency_ms": {"median": self.latency_ms(0.5), "p99": self.latency_ms(0.99),
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -254,6 +254,7 @@
             self.audit.conserve(self.now, &self.outcome);
         }
         self.outcome.broken = self.audit.broken().clone();
+        self.outcome.nearest = self.audit.nearest().clone();
         self.outcome.digest = self.hasher.finalize().to_hex().to_string();
         self.outcome
     }
@@ -574,6 +575,9 @@
             true => Taken::Refused,
             false => self.hosts[host].take(self.now, job, us),
         };
+        if self.hosts[host].is_cold(self.now) {
+            self.audit.strained(self.now, self.hosts[host].strain());
+        }
         let end = match taken {
             Taken::Begun | Taken::Queued => {
                 self.audit.taken(self.now, no);
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -177,6 +177,11 @@
             told.times
         ));
     }
+    put(format_args!("<table><tr><th>How near each rule came (1 is its limit)</th><th></th></tr>"));
+    for (rule, near) in &outcome.nearest {
+        row(&mut put, rule, format!("{:.3} at {:.1} s", near.ratio, near.at.as_ms() / 1000.0));
+    }
+    put(format_args!("</table>"));
     for (heading, svg) in plots(outcome)? {
         put(format_args!("{heading}{svg}"));
     }
--- a/crates/ledger-host/src/lib.rs
+++ b/crates/ledger-host/src/lib.rs
@@ -123,6 +123,8 @@
     sent: VecDeque<(Tenths, u64)>,
     /// It stands still until then.
     still: Option<Tenths>,
+    /// What was sent to it while cold over the last window, of what makes it fall over.
+    strain: f64,
 }
 
 const SECOND: Tenths = Tenths(10_000);
@@ -141,6 +143,7 @@
             ended: VecDeque::new(),
             sent: VecDeque::new(),
             still: None,
+            strain: 0.0,
         }
     }
 
@@ -241,7 +244,13 @@
         self.sent.push_back((now, us));
         let sent: u64 = self.sent.iter().map(|(_, us)| us).sum();
         let can = self.build.cores as f64 * self.share(now) * self.build.fall_window.as_ms() * 1000.0;
-        sent as f64 > self.build.fall_multiple * can
+        self.strain = sent as f64 / (self.build.fall_multiple * can).max(1.0);
+        self.strain > 1.0
+    }
+
+    /// As of the last job that came while it was cold: 1 is where it falls over.
+    pub fn strain(&self) -> f64 {
+        self.strain
     }
 
     fn begin(&mut self, now: Tenths, job: Job) {
