--- a/crates/lab/src/laboratory.rs
+++ b/crates/lab/src/laboratory.rs
@@ -49,6 +49,15 @@
     Ok((outcome.events as f64 / took, outcome.events, outcome.broken.is_empty(), took))
 }
 
+/// A scenario's days: service by the module and by the design alone, when each was sound again, rules broken.
+struct Row {
+    name: &'static str,
+    module: f64,
+    design: f64,
+    recovered: Vec<Option<usize>>,
+    broken: Vec<&'static str>,
+}
+
 pub fn measure(sizes: &Sizes) -> Result<bool, String> {
     let small = speed(sizes.small)?;
     let small_kb = peak_kb();
@@ -57,7 +66,7 @@
     let seeds: Vec<u64> = (FIRST_SEED..FIRST_SEED + sizes.seeds).collect();
     let (hosts, brokers) = sizes.small;
     let minds = [Mind::Module, Mind::Design];
-    let mut rows: Vec<(f64, &str, f64, Vec<Option<usize>>, Vec<&str>)> = LIBRARY
+    let mut rows: Vec<Row> = LIBRARY
         .par_iter()
         .map(|(name, _)| {
             let scenario = scenario(name)?;
@@ -70,14 +79,15 @@
                 days.iter().map(|(day, _)| day.service.share()).sum::<f64>() / days.len().max(1) as f64
             };
             let recovered = mine.iter().map(|(day, over)| recovers(day, *over)).collect();
-            let mut broken: Vec<&str> = mine.iter().flat_map(|(day, _)| day.broken.keys().copied()).collect();
+            let mut broken: Vec<&'static str> =
+                mine.iter().flat_map(|(day, _)| day.broken.keys().copied()).collect();
             broken.dedup();
-            Ok((mean(&mine), *name, mean(&design), recovered, broken))
+            Ok(Row { name, module: mean(&mine), design: mean(&design), recovered, broken })
         })
         .collect::<Result<_, String>>()?;
-    rows.sort_by(|a, b| a.0.total_cmp(&b.0));
+    rows.sort_by(|a, b| a.module.total_cmp(&b.module));
     println!("{:<28} module   design alone  recovers, s", "scenario, worst first");
-    for (service, name, design, recovered, broken) in &rows {
+    for Row { name, module, design, recovered, broken } in &rows {
         let recovered: Vec<String> =
             recovered.iter().map(|s| s.map_or("-".to_owned(), |s| s.to_string())).collect();
         println!(
@@ -86,13 +96,16 @@
             broken.join("; ")
         );
     }
-    let kept = rows.iter().all(|row| row.4.is_empty()) && small.2 && large.2;
-    let worst = rows.first().map_or(0.0, |row| row.0);
+    let kept = rows.iter().all(|row| row.broken.is_empty()) && small.2 && large.2;
+    let worst = rows.first().map_or(0.0, |row| row.module);
     let dearer = small.0 / large.0;
     let pass = kept && worst >= WORST && small.0 >= EVENTS && dearer <= DEARER;
     let scenarios: serde_json::Map<String, serde_json::Value> = rows
         .iter()
-        .map(|row| (row.1.to_owned(), json!({"module": row.0, "design": row.2, "recovers_s": row.3})))
+        .map(|row| {
+            let told = json!({"module": row.module, "design": row.design, "recovers_s": row.recovered});
+            (row.name.to_owned(), told)
+        })
         .collect();
     let size = |(hosts, brokers): (u32, u32), told: (f64, u64, bool, f64), kb: f64| {
         json!({"hosts": hosts, "brokers": brokers, "events": told.1, "events_a_second": told.0.round(),
