--- a/crates/lab/src/laboratory.rs
+++ b/crates/lab/src/laboratory.rs
@@ -90,11 +90,7 @@
     for Row { name, module, design, recovered, broken } in &rows {
         let recovered: Vec<String> =
             recovered.iter().map(|s| s.map_or("-".to_owned(), |s| s.to_string())).collect();
-        println!(
-            "{name:<28} {service:.4}   {design:.4}        {} {}",
-            recovered.join(" "),
-            broken.join("; ")
-        );
+        println!("{name:<28} {module:.4}   {design:.4}        {} {}", recovered.join(" "), broken.join("; "));
     }
     let kept = rows.iter().all(|row| row.broken.is_empty()) && small.2 && large.2;
     let worst = rows.first().map_or(0.0, |row| row.module);
