Hosts that only requests warm, and work that goes on when it is given up

Need: two hard cases of the issue: a fresh host that waiting never warms, and work that a cancel does not stop. Change: the model host's warm-up by jobs done and its way with what is given up; keys of a scenario; two more in the library; the command line tested as a script sees it.

--- a/crates/incidents/src/lib.rs
+++ b/crates/incidents/src/lib.rs
@@ -22,5 +22,5 @@
 
 pub use book::{Book, Change, Standing};
 pub use library::{LIBRARY, find};
-pub use scenario::{Clients, Mistake, On, Scenario, Trouble, What};
+pub use scenario::{Cancel, Clients, Mistake, On, Scenario, Trouble, What};
 pub use script::{Act, Fleet, Moment};
--- a/crates/incidents/src/library.rs
+++ b/crates/incidents/src/library.rs
@@ -33,6 +33,8 @@
     "roll-is-late",
     "roll-silent-during-a-drain",
     "short-pauses",
+    "warmed-by-requests",
+    "work-goes-on",
 ];
 
 /// The text of this name.
--- a/crates/incidents/src/scenario.rs
+++ b/crates/incidents/src/scenario.rs
@@ -104,6 +104,20 @@
     pub from: bool,
 }
 
+/// What a host does with work that is given up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Cancel {
+    #[default]
+    All,
+    /// What runs goes on.
+    Waiting,
+    /// All goes on.
+    Nothing,
+}
+
+const CANCELS: &[(&str, Cancel)] =
+    &[("all", Cancel::All), ("waiting", Cancel::Waiting), ("none", Cancel::Nothing)];
+
 /// What clients do with what they get.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Clients {
@@ -127,6 +141,10 @@
     /// Milliseconds one way, within a hall and between two.
     pub near_ms: f64,
     pub far_ms: f64,
+    /// So many jobs warm a host; 0: time does.
+    pub warm_jobs: u32,
+    /// What hosts do with work that is given up.
+    pub cancel: Cancel,
     pub clients: Clients,
     pub troubles: Vec<Trouble>,
 }
@@ -157,6 +175,7 @@
     Key("load", 0.001, 100.0, 0.5),
     Key("near_ms", 0.1, 1000.0, 0.5),
     Key("far_ms", 0.1, 1000.0, 1.0),
+    Key("warm_jobs", 0.0, 1e6, 0.0),
 ];
 const CLIENTS: &[Key] = &[
     Key("retries", 0.0, 100.0, 0.0),
@@ -191,11 +210,17 @@
             let all: Vec<(&str, &str)> = properties.iter().collect();
             match section {
                 "" if all.is_empty() => {}
-                "scenario" => day = reading.values(section, &all, SCENARIO, &["about"]),
+                "scenario" => day = reading.values(section, &all, SCENARIO, &["about", "cancel"]),
                 "clients" => clients = reading.values(section, &all, CLIENTS, &[]),
                 _ => troubles.extend(reading.trouble(section, &all)),
             }
         }
+        let word = day.word("cancel").unwrap_or("all".to_owned());
+        let cancel = CANCELS.iter().find(|(name, _)| *name == word).map(|(_, cancel)| *cancel);
+        if cancel.is_none() {
+            let allowed = CANCELS.iter().map(|(name, _)| *name).collect::<Vec<_>>().join(", ");
+            reading.wrong("scenario", "cancel", word, allowed);
+        }
         if troubles.is_empty() && reading.mistakes.is_empty() {
             reading.mistakes.push(Mistake::NoTrouble);
         }
@@ -215,6 +240,8 @@
             load: day.number("load", SCENARIO),
             near_ms: day.number("near_ms", SCENARIO),
             far_ms: day.number("far_ms", SCENARIO),
+            warm_jobs: day.number("warm_jobs", SCENARIO) as u32,
+            cancel: cancel.unwrap_or_default(),
             clients,
             troubles,
         })
--- a/crates/incidents/tests/scenarios.rs
+++ b/crates/incidents/tests/scenarios.rs
@@ -50,6 +50,10 @@
     "[n]\nwhat = cut\nat = 1\nfor = 1\nway = up\n",
     "line 5: `way` of [n] is `up`: both, to, from is allowed"
 )]
+#[case(
+    "[scenario]\ncancel = some\n[n]\nwhat = lose\nat = 1\nfor = 1\n",
+    "line 2: `cancel` of [scenario] is `some`: all"
+)]
 #[case("[n\nwhat = lose\n", "line ")]
 fn tells_each_mistake(#[case] text: &str, #[case] told: &str) {
     let mistakes = Scenario::read("x", text).unwrap_err();
--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -9,6 +9,7 @@
 use barleydrum::Tenths;
 use clap::Args;
 use incidents::{Act, Fleet, LIBRARY, Moment, Scenario, find};
+use ledger_host::Cancel;
 use rayon::prelude::*;
 use serde_json::{Value, json};
 use std::path::PathBuf;
@@ -171,7 +172,13 @@
         let plan = plan(&staging, &script, scenario.seconds);
         let (near, far) = (Tenths::from_ms(scenario.near_ms), Tenths::from_ms(scenario.far_ms));
         let weather = Weather::new(fleet, near, far, seed);
-        let cast = Cast { brokers, mind, seed, cells, cores: CORES };
+        let cancel = match scenario.cancel {
+            incidents::Cancel::All => Cancel::All,
+            incidents::Cancel::Waiting => Cancel::Waiting,
+            incidents::Cancel::Nothing => Cancel::Nothing,
+        };
+        let warm_jobs = Some(scenario.warm_jobs).filter(|jobs| *jobs > 0);
+        let cast = Cast { brokers, mind, seed, cells, cores: CORES, warm_jobs, cancel };
         World::scripted(plan, &staging, cast, (weather, script, scenario.clients)).play(|_, _| true)
     }
 
--- a/crates/lab/src/loopback/tests.rs
+++ b/crates/lab/src/loopback/tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::rehearse::Mind;
+use ledger_host::Cancel;
 use rstest::rstest;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -42,7 +43,7 @@
 }
 
 fn cast() -> Cast {
-    Cast { brokers: 2, mind: Mind::Module, seed: 5, cells: 3, cores: 4 }
+    Cast { brokers: 2, mind: Mind::Module, seed: 5, cells: 3, cores: 4, warm_jobs: None, cancel: Cancel::All }
 }
 
 /// Three seconds of retrievals, four parts of 20 ms each, so many a second; half of the hosts die in one
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -14,7 +14,7 @@
     Tenths, ZoneNo,
 };
 use incidents::{Change, Clients, Fleet, Moment};
-use ledger_host::{Host, JobNo, State, Taken};
+use ledger_host::{Cancel, Host, JobNo, State, Taken};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use trace::plan::{Happens, HostEvent, Plan, Staging};
@@ -37,6 +37,9 @@
     pub seed: u64,
     pub cells: u32,
     pub cores: usize,
+    /// So many jobs warm a host; none: time does. And what it does with work that is given up.
+    pub warm_jobs: Option<u32>,
+    pub cancel: Cancel,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/lab/src/rehearse/tests.rs
+++ b/crates/lab/src/rehearse/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use ledger_host::Cancel;
 use rstest::rstest;
 use trace::plan::{Budget, Cast as Role, Entry, Repeats};
 
@@ -39,7 +40,7 @@
 }
 
 fn cast(mind: Mind) -> Cast {
-    Cast { brokers: 3, mind, seed: 5, cells: 4, cores: 4 }
+    Cast { brokers: 3, mind, seed: 5, cells: 4, cores: 4, warm_jobs: None, cancel: Cancel::All }
 }
 
 /// Twelve seconds of retrievals, four parts of 20 ms each, so many a second; and these events of hosts.
--- a/crates/lab/src/rush.rs
+++ b/crates/lab/src/rush.rs
@@ -3,6 +3,7 @@
 
 use crate::outcome::Outcome;
 use crate::rehearse::{Cast, Mind, World};
+use ledger_host::Cancel;
 use rayon::prelude::*;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
@@ -113,7 +114,15 @@
         .map(|(times, mind)| {
             let plan = plan(size, seed, ONE * times)?;
             let cells = (size.hosts / 5).max(3);
-            let cast = Cast { brokers: size.brokers, mind, seed, cells, cores: 4 };
+            let cast = Cast {
+                brokers: size.brokers,
+                mind,
+                seed,
+                cells,
+                cores: 4,
+                warm_jobs: None,
+                cancel: Cancel::All,
+            };
             let outcome = World::new(plan, &staging(size, seed, ONE * times), cast).play(|_, _| true);
             Ok((times, mind, outcome))
         })
--- a/crates/lab/src/scene.rs
+++ b/crates/lab/src/scene.rs
@@ -60,7 +60,7 @@
 }
 
 pub fn build(cast: &Cast) -> Build {
-    Build { cores: cast.cores, ..Build::default() }
+    Build { cores: cast.cores, warm_jobs: cast.warm_jobs, cancel: cast.cancel, ..Build::default() }
 }
 
 /// One that runs since long ago.
--- a/crates/lab/src/traces.rs
+++ b/crates/lab/src/traces.rs
@@ -9,6 +9,7 @@
 use barleydrum::Tenths;
 use clap::Args;
 use indicatif::{ProgressBar, ProgressStyle};
+use ledger_host::Cancel;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -248,6 +249,8 @@
         seed: planned.seed,
         cells: (*cells).clamp(1, planned.hosts.max(1)),
         cores: (*cores).max(1),
+        warm_jobs: None,
+        cancel: Cancel::All,
     };
     let (stop, last) = (interruption(), plan.entries.last().map_or(0, |entry| entry.at));
     let bar = progress(Tenths(last as i64));
--- a/crates/lab/tests/command.rs
+++ b/crates/lab/tests/command.rs
@@ -163,3 +163,31 @@
     let figures = std::fs::read(folder.path().join("day.json")).unwrap();
     assert!(serde_json::from_slice::<Value>(&figures).unwrap()["service"].as_f64() > Some(0.5));
 }
+
+/// The library is listed; a scenario of one's own is played the same each time; a wrong one is told by line and key.
+#[rstest]
+fn rehearses_incidents() {
+    let listed = lab(&["rehearse", "--list"]);
+    let told = String::from_utf8_lossy(&listed.stdout).into_owned();
+    assert_eq!(listed.status.code(), Some(0));
+    assert!(told.lines().count() >= 20 && told.contains("hall-lost-at-the-rush "), "{told}");
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("own.ini");
+    let text = "[scenario]\nabout = one host is lost\nseconds = 8\nload = 0.3\n[one]\nwhat = lose\nhost = 1\nat = 2\nfor = 2\n";
+    std::fs::write(&path, text).unwrap();
+    let play = |more: &[&str]| {
+        let words =
+            ["rehearse", path.to_str().unwrap(), "--hosts", "6", "--brokers", "2", "--seeds", "2", "--json"];
+        lab(&[&words, more].concat())
+    };
+    let (one, other) = (play(&[]), play(&[]));
+    assert_eq!((one.status.code(), &one.stdout), (Some(0), &other.stdout), "{one:?}");
+    let told: Value = serde_json::from_slice(&play(&["--against", "random"]).stdout).unwrap();
+    let row = &told["scenarios"][0];
+    assert!(row["service"].as_f64() > Some(0.9) && row["better_by"]["half_span_95"].is_number(), "{row}");
+    std::fs::write(&path, text.replace("lose", "loose")).unwrap();
+    let wrong = play(&[]);
+    let why = String::from_utf8_lossy(&wrong.stderr).into_owned();
+    assert_eq!(wrong.status.code(), Some(2));
+    assert!(why.contains("line 6: `what` of [one] is `loose`"), "{why}");
+}
--- a/crates/ledger-host/src/lib.rs
+++ b/crates/ledger-host/src/lib.rs
@@ -38,6 +38,21 @@
     pub fall_multiple: f64,
     /// ...over this long, it falls over.
     pub fall_window: Tenths,
+    /// So many jobs warm it, however long that takes; none: time does.
+    pub warm_jobs: Option<u32>,
+    pub cancel: Cancel,
+}
+
+/// What a job that is given up costs from then on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Cancel {
+    /// Nothing, wherever it was.
+    #[default]
+    All,
+    /// What waits is forgotten; what runs goes on to its end.
+    Waiting,
+    /// All goes on, and is nobody's.
+    Nothing,
 }
 
 impl Default for Build {
@@ -49,6 +64,8 @@
             warm_after: Tenths(170_000),
             fall_multiple: 3.0,
             fall_window: Tenths(10_000),
+            warm_jobs: None,
+            cancel: Cancel::All,
         }
     }
 }
@@ -123,6 +140,8 @@
     sent: VecDeque<(Tenths, u64)>,
     /// It stands still until then.
     still: Option<Tenths>,
+    /// Jobs that ended since it started.
+    done: u32,
     /// What was sent to it while cold over the last window, of what makes it fall over.
     strain: f64,
 }
@@ -143,6 +162,7 @@
             ended: VecDeque::new(),
             sent: VecDeque::new(),
             still: None,
+            done: 0,
             strain: 0.0,
         }
     }
@@ -165,7 +185,7 @@
     /// A new process under the same name, cold.
     pub fn start(&mut self, now: Tenths) {
         if self.go(Event::Start) {
-            (self.started, self.speed) = (Some(now), 1.0);
+            (self.started, self.speed, self.done) = (Some(now), 1.0, 0);
             self.sent.clear();
         }
     }
@@ -206,7 +226,11 @@
     /// The share of its work that it can do now.
     pub fn share(&self, now: Tenths) -> f64 {
         let Some(started) = self.started else { return self.speed };
-        let age = (now - started).max(Tenths::ZERO).over(self.build.warm_after).min(1.0);
+        let age = match self.build.warm_jobs {
+            Some(jobs) => f64::from(self.done) / f64::from(jobs.max(1)),
+            None => (now - started).max(Tenths::ZERO).over(self.build.warm_after),
+        };
+        let age = age.min(1.0);
         self.speed * (self.build.cold_share + (1.0 - self.build.cold_share) * age)
     }
 
@@ -272,6 +296,7 @@
         let (_, no) = self.running.pop_first()?;
         self.ends.remove(&no);
         self.ended.push_back(now);
+        self.done = self.done.saturating_add(1);
         while self.ended.pop_front_if(|at| *at < now - SECOND).is_some() {}
         self.next(now);
         Some(no)
@@ -283,8 +308,13 @@
         }
     }
 
-    /// A job is given up: one that waits is forgotten, one that runs is ended. Whether it was there.
+    /// A job is given up: one that waits is forgotten, one that runs is ended, as far as this host does so. Whether
+    /// it is gone by that.
     pub fn give_up(&mut self, now: Tenths, no: JobNo) -> bool {
+        let runs = self.ends.contains_key(&no);
+        if self.build.cancel == Cancel::Nothing || runs && self.build.cancel == Cancel::Waiting {
+            return false;
+        }
         if let Some(end) = self.ends.remove(&no) {
             self.running.remove(&(end, no));
             self.next(now);
--- a/crates/ledger-host/tests/model.rs
+++ b/crates/ledger-host/tests/model.rs
@@ -1,7 +1,7 @@
 //! The model of a host, moment by moment.
 
 use barleydrum::Tenths;
-use ledger_host::{Build, Host, JobNo, Load, State, Taken};
+use ledger_host::{Build, Cancel, Host, JobNo, Load, State, Taken};
 use rstest::rstest;
 
 fn build() -> Build {
@@ -89,3 +89,38 @@
     host.take(Tenths(20), job(7), 10_000);
     assert!(host.end(Tenths(110)).is_some() && host.next_end() == Some(Tenths(220)), "half as fast");
 }
+
+/// Warmed by what it did, and by nothing else: an hour of waiting leaves it as cold as it was.
+#[rstest]
+fn waiting_does_not_warm() {
+    let build = Build { cores: 1, warm_jobs: Some(4), ..Build::default() };
+    let mut host = Host::new(build, None);
+    host.die();
+    host.start(Tenths(0));
+    let later = Tenths(36_000_000);
+    assert!((host.share(later) - 0.2).abs() < 1e-9);
+    for no in 0..4 {
+        host.take(later, JobNo(no), 100);
+        host.end(host.next_end().unwrap());
+    }
+    assert!((host.share(later) - 1.0).abs() < 1e-9);
+}
+
+/// What is given up costs nothing more, or what runs goes on, or all does.
+#[rstest]
+#[case(Cancel::All, 0)]
+#[case(Cancel::Waiting, 1)]
+#[case(Cancel::Nothing, 2)]
+fn work_goes_on(#[case] cancel: Cancel, #[case] ended: usize) {
+    let mut host = Host::new(Build { cores: 1, cancel, ..Build::default() }, None);
+    host.take(Tenths(0), JobNo(1), 1000);
+    host.take(Tenths(0), JobNo(2), 1000);
+    host.give_up(Tenths(1), JobNo(2));
+    host.give_up(Tenths(1), JobNo(1));
+    let mut count = 0;
+    while let Some(end) = host.next_end() {
+        host.end(end);
+        count += 1;
+    }
+    assert_eq!(count, ended);
+}
