One way to make a reissuable category for rehearsals

Cause: the same closure stood in two modules of the laboratory. Change: a constructor beside the type.

--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 use std::path::PathBuf;
 use std::process::ExitCode;
-use trace::plan::{Cast as Role, Entry, Happens, HostEvent, Plan, Repeats, Staging};
+use trace::plan::{Cast as Role, Entry, Happens, HostEvent, Plan, Staging};
 
 #[derive(Args, Clone)]
 pub struct Rehearsed {
@@ -57,16 +57,6 @@
 const LOOKUP_PARTS: (u32, u32) = (1, 4);
 
 fn staging(hosts: u32, scenario: &Scenario, seed: u64) -> Staging {
-    let role = |name: &str, share, parts, skew, payoff, least| Role {
-        name: name.to_owned(),
-        share,
-        parts,
-        skew,
-        cut_off: 5000,
-        payoff,
-        least,
-        repeats: Repeats::Reissuable,
-    };
     Staging {
         seed,
         from: 0,
@@ -78,8 +68,8 @@
         host_ms_per_s: CORES as f64 * 1000.0,
         shards: (hosts * 2).max(REPORT_PARTS.1),
         categories: vec![
-            role("report", REPORTS, REPORT_PARTS, 1.0, 3.0, 0.4),
-            role("lookup", 1.0 - REPORTS, LOOKUP_PARTS, 0.0, 1.0, 1.0),
+            Role::reissuable("report", REPORTS, REPORT_PARTS, 1.0, (3.0, 0.4)),
+            Role::reissuable("lookup", 1.0 - REPORTS, LOOKUP_PARTS, 0.0, (1.0, 1.0)),
         ],
         callers: vec![1.0],
         quota_per_s: None,
--- a/crates/lab/src/rush.rs
+++ b/crates/lab/src/rush.rs
@@ -8,7 +8,7 @@
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
 use std::time::Instant;
-use trace::plan::{Cast as Role, Plan, Planner, Repeats, Staging};
+use trace::plan::{Cast as Role, Plan, Planner, Staging};
 use trace::{Reader, Verdict, layout};
 
 /// How large a day is: hosts, brokers, cells, seconds, and jobs a second before the rush.
@@ -58,16 +58,6 @@
 }
 
 fn staging(size: &Size, seed: u64, load: f64) -> Staging {
-    let role = |name: &str, share, parts, skew, payoff, least| Role {
-        name: name.to_owned(),
-        share,
-        parts,
-        skew,
-        cut_off: 5000,
-        payoff,
-        least,
-        repeats: Repeats::Reissuable,
-    };
     Staging {
         seed,
         from: 0,
@@ -79,8 +69,8 @@
         host_ms_per_s: 4000.0,
         shards: size.hosts * 2,
         categories: vec![
-            role("report", 1.0, (8, 24), 1.0, 3.0, 0.4),
-            role("lookup", 3.0, (1, 4), 0.0, 1.0, 1.0),
+            Role::reissuable("report", 1.0, (8, 24), 1.0, (3.0, 0.4)),
+            Role::reissuable("lookup", 3.0, (1, 4), 0.0, (1.0, 1.0)),
         ],
         callers: vec![1.0],
         quota_per_s: None,
--- a/crates/trace/src/plan.rs
+++ b/crates/trace/src/plan.rs
@@ -60,6 +60,20 @@
     pub repeats: Repeats,
 }
 
+impl Cast {
+    /// A category whose retrievals may run again, with five seconds to its cut-off.
+    pub fn reissuable(
+        name: &str,
+        share: f64,
+        parts: (u32, u32),
+        skew: f64,
+        (payoff, least): (f64, f64),
+    ) -> Cast {
+        let (name, repeats) = (name.to_owned(), Repeats::Reissuable);
+        Cast { name, share, parts, skew, cut_off: 5000, payoff, least, repeats }
+    }
+}
+
 /// What a repeat of a part would do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Repeats {
