--- a/crates/lab/src/audit.rs
+++ b/crates/lab/src/audit.rs
@@ -337,6 +337,17 @@
         Audit::new(Bounds { kinds, budget, grace: Tenths(50), slack: Tenths(5) }, 1)
     }
 
+    /// A day that lost count of a retrieval says so.
+    #[rstest]
+    #[case(2, 0)]
+    #[case(3, 1)]
+    fn tells_what_was_not_conserved(#[case] retrievals: u64, #[case] breaks: usize) {
+        let (mut audit, mut outcome) = (audit(), Outcome::new(Vec::new(), 1));
+        (outcome.retrievals, outcome.declined, outcome.left) = (retrievals, 1, 1);
+        audit.conserve(Tenths(0), &outcome);
+        assert_eq!(audit.broken().len(), breaks);
+    }
+
     #[rstest]
     fn tells_how_near_a_rule_came() {
         let mut audit = audit();
--- a/crates/lab/src/incident/tests.rs
+++ b/crates/lab/src/incident/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use incidents::{LIBRARY, find};
+use rayon::prelude::*;
 use rstest::rstest;
 
 fn day(name: &str, seed: u64, mind: Mind) -> Outcome {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -11,6 +11,7 @@
 mod loopback;
 mod outcome;
 mod reading;
+mod rehearsal;
 mod rehearse;
 mod report;
 mod rush;
@@ -46,7 +47,7 @@
     },
     /// Play scripted incidents in virtual time, by several seeds, beside a baseline. Its figures are
     /// simulated.
-    Rehearse(incident::Rehearsed),
+    Rehearse(rehearsal::Rehearsed),
     /// Public cluster traces in CSV.
     Trace {
         #[command(subcommand)]
@@ -116,7 +117,7 @@
         Command::Trace { command: TraceCommand::Check { files, layout, tolerate, json } } => {
             return traces::check(&files, layout.as_deref(), tolerate, json);
         }
-        Command::Rehearse(words) => return incident::run(&words),
+        Command::Rehearse(words) => return rehearsal::run(&words),
         Command::Demo { report } => return demo::run(report),
         Command::Trace { command: TraceCommand::Plan(planned) } => return traces::plan(&planned),
         Command::Trace { command: TraceCommand::Run(played) } => return traces::run(&played),
--- a/crates/lab/src/weather.rs
+++ b/crates/lab/src/weather.rs
@@ -182,3 +182,89 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    const NEAR: Tenths = Tenths(5);
+    const FAR: Tenths = Tenths(20);
+
+    fn weather() -> Weather {
+        Weather::new(Fleet { hosts: 4, halls: 2, cells: 4, brokers: 2 }, NEAR, FAR, 1)
+    }
+
+    /// Each direction for itself, and as it was when the trouble is over.
+    #[rstest]
+    #[case(true, false, None, Some(NEAR))]
+    #[case(false, true, Some(NEAR), None)]
+    #[case(true, true, None, None)]
+    fn cuts(
+        #[case] to: bool,
+        #[case] from: bool,
+        #[case] there: Option<Tenths>,
+        #[case] back: Option<Tenths>,
+    ) {
+        let mut weather = weather();
+        assert_eq!((weather.way(0, 0, true), weather.way(0, 1, true)), (Some(NEAR), Some(FAR)));
+        // Twice: it holds until both are over.
+        for begins in [true, true, false] {
+            weather.enter(Act::Cut { host: 0, to, from, begins });
+        }
+        assert_eq!((weather.way(0, 0, true), weather.way(0, 0, false)), (there, back));
+        weather.enter(Act::Cut { host: 0, to, from, begins: false });
+        assert_eq!((weather.way(0, 0, true), weather.way(0, 0, false)), (Some(NEAR), Some(NEAR)));
+    }
+
+    #[rstest]
+    fn delays_add_up_and_end() {
+        let mut weather = weather();
+        let mut delay = |more, begins| {
+            weather.enter(Act::Delay { host: 0, more: Tenths(more), to: true, from: false, begins });
+            (weather.way(0, 0, true).unwrap().0, weather.way(0, 0, false).unwrap().0)
+        };
+        assert_eq!(
+            [delay(7, true), delay(3, true), delay(7, false), delay(3, false)],
+            [(12, 5), (15, 5), (8, 5), (5, 5)]
+        );
+    }
+
+    /// Silence loses what is under way, in both directions; it begins once, and ends once.
+    #[rstest]
+    fn falls_silent_once() {
+        let mut weather = weather();
+        let mut silence = |begins| weather.enter(Act::Silence { host: 2, begins });
+        assert_eq!([silence(true), silence(true)], [Some(Do::Silent { host: 2 }), None]);
+        assert_eq!(silence(false), None);
+        assert_eq!(weather.way(0, 2, true), None);
+        assert_eq!(weather.enter(Act::Silence { host: 2, begins: false }), Some(Do::Sounds { host: 2 }));
+        assert_eq!(weather.way(0, 2, false), Some(NEAR));
+    }
+
+    #[rstest]
+    fn the_roll_is_late_or_silent() {
+        let mut weather = weather();
+        weather.enter(Act::LateRoll { more: Tenths(100), begins: true });
+        assert_eq!(weather.roll(), Some(Tenths(100)));
+        assert_eq!(weather.enter(Act::SilentRoll { begins: true }), None);
+        assert_eq!(weather.roll(), None);
+        assert_eq!(weather.enter(Act::SilentRoll { begins: false }), Some(Do::RollBack));
+        weather.enter(Act::LateRoll { more: Tenths(100), begins: false });
+        assert_eq!(weather.roll(), Some(Tenths::ZERO));
+    }
+
+    #[rstest]
+    fn shares_are_drawn() {
+        let mut weather = weather();
+        weather.enter(Act::Lopsided { share: 0.5, begins: true });
+        let first = (0..10_000).filter(|_| weather.broker(1, 2) == 0).count();
+        assert!((4_700..5_300).contains(&first), "{first}");
+        weather.enter(Act::Lopsided { share: 0.5, begins: false });
+        assert!((0..100).all(|no| weather.broker(no, 2) == no % 2));
+        assert!(!weather.kills() && !weather.spoils(0));
+        weather.enter(Act::Garble { host: 0, share: 1.0, begins: true });
+        weather.enter(Act::Killer { share: 1.0, begins: true });
+        assert!(weather.kills() && weather.spoils(0) && !weather.spoils(1));
+    }
+}
--- a/crates/lab/tests/command.rs
+++ b/crates/lab/tests/command.rs
@@ -164,7 +164,8 @@
     assert!(serde_json::from_slice::<Value>(&figures).unwrap()["service"].as_f64() > Some(0.5));
 }
 
-/// The library is listed; a scenario of one's own is played the same each time; a wrong one is told by line and key.
+/// The library is listed; a scenario of one's own is played the same each time; a wrong one is told by line
+/// and key.
 #[rstest]
 fn rehearses_incidents() {
     let listed = lab(&["rehearse", "--list"]);
--- a/crates/ledger-host/src/lib.rs
+++ b/crates/ledger-host/src/lib.rs
@@ -308,8 +308,8 @@
         }
     }
 
-    /// A job is given up: one that waits is forgotten, one that runs is ended, as far as this host does so. Whether
-    /// it is gone by that.
+    /// A job is given up: one that waits is forgotten, one that runs is ended, as far as this host does so.
+    /// Whether it is gone by that.
     pub fn give_up(&mut self, now: Tenths, no: JobNo) -> bool {
         let runs = self.ends.contains_key(&no);
         if self.build.cancel == Cancel::Nothing || runs && self.build.cancel == Cancel::Waiting {
