--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -9,6 +9,7 @@
 use incidents::{Act, Fleet, Moment, Scenario};
 use ledger_host::Cancel;
 use serde_json::{Value, json};
+use statrs::distribution::{ContinuousCDF, StudentsT};
 use trace::plan::{Cast as Role, Entry, Happens, HostEvent, Plan, Staging};
 
 /// Hosts of a cell; milliseconds of work of a part, on average; cores of a host.
@@ -160,11 +161,10 @@
 pub fn bounds(figures: &[f64]) -> (f64, Option<f64>) {
     let n = figures.len() as f64;
     let mean = figures.iter().sum::<f64>() / n.max(1.0);
-    // Student's factors for one to nine degrees of freedom; beyond, near enough to two.
-    const FACTORS: [f64; 9] = [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26];
     let spread = (figures.iter().map(|f| (f - mean).powi(2)).sum::<f64>() / (n - 1.0)).sqrt();
-    let factor = FACTORS.get(figures.len().wrapping_sub(2)).copied().unwrap_or(2.0);
-    (mean, (figures.len() > 1).then(|| factor * spread / n.sqrt()))
+    // None for a single figure, which has no spread.
+    let factor = StudentsT::new(0.0, 1.0, n - 1.0).ok().map(|student| student.inverse_cdf(0.975));
+    (mean, factor.map(|factor| factor * spread / n.sqrt()))
 }
 
 pub fn told(days: &[Outcome], over: usize) -> Value {
--- a/crates/lab/src/incident/tests.rs
+++ b/crates/lab/src/incident/tests.rs
@@ -27,3 +27,14 @@
         assert!(outcome.retrievals > 500, "{name}");
     });
 }
+
+/// Against a table of Student's factors: 12.706 at one degree of freedom, 4.303 at two.
+#[rstest]
+#[case(&[1.0], None)]
+#[case(&[0.0, 2.0], Some(12.706))]
+#[case(&[0.0, 1.0, 2.0], Some(4.303 / 3.0_f64.sqrt()))]
+fn bounds_widen_with_few_figures(#[case] figures: &[f64], #[case] half: Option<f64>) {
+    let (mean, told) = bounds(figures);
+    assert!((mean - 1.0).abs() < 1e-9 && told.is_some() == half.is_some());
+    assert!(told.zip(half).is_none_or(|(told, half)| (told - half).abs() < 0.001), "{told:?}");
+}
--- a/crates/lab/src/loopback/tests.rs
+++ b/crates/lab/src/loopback/tests.rs
@@ -4,42 +4,11 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use trace::plan::{Budget, Cast as Role, Entry, Repeats};
+use trace::plan::{Budget, Entry};
 
 fn staging() -> Staging {
-    let role = |name: &str, parts, payoff, least, repeats| Role {
-        name: name.to_owned(),
-        share: 1.0,
-        parts,
-        skew: 1.0,
-        cut_off: 5000,
-        payoff,
-        least,
-        repeats,
-    };
-    Staging {
-        seed: 1,
-        from: 0,
-        to: 4_000_000,
-        stretch: 1.0,
-        sample: 1.0,
-        load: 0.5,
-        hosts: 6,
-        host_ms_per_s: 4000.0,
-        shards: 12,
-        categories: vec![
-            role("report", (4, 8), 3.0, 0.4, Repeats::Reissuable),
-            role("lookup", (1, 2), 1.0, 1.0, Repeats::Reissuable),
-            role("booking", (1, 2), 1.0, 1.0, Repeats::Numbered(1000)),
-            role("dispensing", (1, 2), 1.0, 1.0, Repeats::AtMostOnce),
-        ],
-        callers: vec![1.0],
-        quota_per_s: None,
-        drains: 0.0,
-        drain_for: 20_000,
-        budget: Some(Budget { few: 3.0, share: 0.1, window_ms: 5000 }),
-        most: 1_000_000,
-    }
+    let budget = Some(Budget { few: 3.0, share: 0.1, window_ms: 5000 });
+    Staging { to: 4_000_000, hosts: 6, shards: 12, budget, ..crate::rehearse::tests::staging() }
 }
 
 fn cast() -> Cast {
@@ -127,3 +96,32 @@
     assert_eq!(outcome.stopped_at, Some(Tenths(10_000)));
     assert!(outcome.broken.is_empty() && outcome.retrievals < 120, "{}", outcome.json());
 }
+
+/// The clock stands while anything is under way: a request that no desk has, a part that no broker has out, at a host or
+/// among what was just heard. Without this a day is the same only as long as the kernel is quick.
+#[rstest]
+#[case(|day: &mut Day| day.waiting += 1, "a request or an answer")]
+#[case(|day: &mut Day| _ = day.jobs.insert(JobNo(9), Job { host: 0, line: 0, id: "r0.1".into(), part: PartNo(0) }), "a part")]
+#[case(|day: &mut Day| day.inbox.push((0, 0, Heard::Call(vec![part()]))), "a part")]
+fn the_clock_stands_while_anything_is_under_way(#[case] put: fn(&mut Day), #[case] what: &str) {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build().unwrap();
+    actix_rt::Runtime::from(runtime).block_on(async {
+        let mut day = Day::begin(Duration::from_secs(20), plan(60, &[]), &staging(), cast()).await.unwrap();
+        day.due().await.unwrap();
+        assert!(day.under_way().is_none() && day.hold_what_is_out());
+        put(&mut day);
+        assert!(day.under_way().is_some_and(|told| told.starts_with(what)), "{:?}", day.under_way());
+        assert!(day.waiting > 0 || !day.hold_what_is_out());
+        day.patience = Duration::from_millis(50);
+        let rest = day.rest().await;
+        assert!(
+            matches!(&rest, Err(NoFigure::Busy { what: told, .. }) if told.starts_with(what)),
+            "{rest:?}"
+        );
+    });
+}
+
+fn part() -> Part {
+    Part { id: "r0.1".into(), shard: 1, list: "d=1".into(), text: String::new() }
+}
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -741,4 +741,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/lab/src/rehearse/tests.rs
+++ b/crates/lab/src/rehearse/tests.rs
@@ -3,7 +3,8 @@
 use rstest::rstest;
 use trace::plan::{Budget, Cast as Role, Entry, Repeats};
 
-fn staging() -> Staging {
+/// Four kinds of categories, eight hosts, a tight budget.
+pub fn staging() -> Staging {
     let role = |name: &str, parts, payoff, least, repeats| Role {
         name: name.to_owned(),
         share: 1.0,
