--- /dev/null
+++ b/crates/admission/src/door.rs
@@ -0,0 +1,463 @@
+//! The door's decisions. Read `STEPS` first, what the door is at each step of its window, then `RULES`,
+//! what becomes of a retrieval; the rest serves them. `docs/admission.md` tells why.
+
+use crate::allowance::{Allowance, Wrong};
+use crate::state::{Asked, Caller, Instance};
+use Found::{Calm, Harmed};
+use Mode::{Crowded, Open};
+use barleydrum::{CallerNo, Effect, GroupNo, Input, Prescription, PushEnd, PushOutcome, RetrievalId, Tenths};
+use std::collections::BTreeSet;
+
+/// The starting values (`Allowance::default()`): the design's starting level of pressure and its window;
+/// a decrease and an increase as in congestion control, which halve the rate in three steps and double it in
+/// seven; open again at twice what is asked; a second's burst; retries a fifth of first tries and three,
+/// as the retry budgets of well-known proxies have it.
+impl Default for Allowance {
+    fn default() -> Allowance {
+        Allowance {
+            level: 0.1,
+            window: Tenths(50_000),
+            decrease: 0.8,
+            increase: 0.1,
+            open_above: 2.0,
+            burst: Tenths(10_000),
+            retry_share: 0.2,
+            retry_floor: 3.0,
+            most_callers: 10_000,
+            shares: true,
+        }
+    }
+}
+
+/// Steps of a window: a tenth of it, as its slices. After a cut, harm is not heard of at once: a push that
+/// finds a queue times out late. Harm found within half a window of a cut is taken as the cut's.
+const STEPS_A_WINDOW: i64 = 10;
+const HOLD: f64 = 0.5;
+/// Harm is judged over this share of the window: what the last steps found, not the whole window's past.
+const LATELY: f64 = 0.2;
+
+/// Whether the door lets in all, or a rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    #[default]
+    Open,
+    Crowded,
+}
+
+/// What a step finds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Found {
+    Calm,
+    Harmed,
+}
+
+type StepGuard = fn(&Door) -> bool;
+type StepAct = fn(&mut Door);
+
+/// At a mode, on what a step finds, if the guard holds: the next mode, and what is done.
+struct Step(Mode, Found, StepGuard, Mode, StepAct);
+
+#[rustfmt::skip]
+const STEPS: &[Step] = &[
+    Step(Open,    Harmed, |_| true,    Crowded, Door::close_in),
+    Step(Open,    Calm,   |_| true,    Open,    |_| ()),
+    Step(Crowded, Harmed, Door::may_cut, Crowded, Door::slow_down),
+    Step(Crowded, Harmed, |_| true,    Crowded, |_| ()),
+    Step(Crowded, Calm,   Door::roomy, Open,    Door::open_up),
+    Step(Crowded, Calm,   |_| true,    Crowded, Door::speed_up),
+];
+
+/// What a retrieval is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Passed,
+    /// Declined: its caller's retries are over their budget.
+    Retries,
+    /// Declined: its caller asks for more than its share, its bucket does not hold the parts, and others
+    /// ask. They are not trimmed by it.
+    Share,
+}
+
+type AskGuard = fn(&mut Door, &Asked) -> bool;
+type AskAct = fn(&mut Door, &Asked);
+
+/// At a mode, if the guard holds: what the retrieval is told, and what is done.
+struct Rule(Mode, AskGuard, Told, AskAct);
+
+#[rustfmt::skip]
+const RULES: &[Rule] = &[
+    Rule(Open,    |_, _| true,        Told::Passed,  Door::count_try),
+    Rule(Crowded, Door::retries_over, Told::Retries, |_, _| ()),
+    Rule(Crowded, Door::within,       Told::Passed,  Door::take),
+    Rule(Crowded, Door::bucket_holds, Told::Passed,  Door::take),
+    Rule(Crowded, Door::others_ask,   Told::Share,   |_, _| ()),
+    Rule(Crowded, |_, _| true,        Told::Passed,  Door::count_try),
+];
+
+/// What a push's end is to the door: whether it counts, and whether it is harm. As the module's pressure.
+#[rustfmt::skip]
+const ENDS: &[(PushEnd, bool, bool)] = &[
+    (PushEnd::Finished,     true,  false),
+    (PushEnd::Errored,      true,  false),
+    (PushEnd::Full,         true,  true),
+    (PushEnd::TimedOut,     true,  true),
+    (PushEnd::NoConnection, true,  false),
+    (PushEnd::Dropped,      true,  false),
+    (PushEnd::Withdrawn,    false, false),
+    (PushEnd::NotSent,      false, false),
+];
+
+/// The door before one broker's module.
+pub struct Door {
+    a: Allowance,
+    mode: Mode,
+    prescription: Prescription,
+    s: Instance,
+    /// What each retrieval was told, by the door's count, since it began: passed, retries, share.
+    pub counts: [u64; 3],
+    /// When it first heard anything.
+    began: Tenths,
+}
+
+impl Door {
+    /// A door that is open, or what is wrong with the allowance.
+    pub fn new(allowance: Allowance, prescription: &Prescription) -> Result<Door, Vec<Wrong>> {
+        allowance.check()?;
+        let (mode, prescription, s) = (Open, prescription.clone(), Instance::default());
+        Ok(Door { a: allowance, mode, prescription, s, counts: [0; 3], began: Tenths(i64::MAX) })
+    }
+
+    pub fn mode(&self) -> Mode {
+        self.mode
+    }
+
+    /// Parts a second that it lets in while crowded.
+    pub fn rate(&self) -> f64 {
+        self.rate_if_crowded()
+    }
+
+    /// Sees what a turn brings before the module does: what the module is to hear, and the declines that go
+    /// out at once.
+    pub fn pass(&mut self, now: Tenths, heard: &[Input]) -> (Vec<Input>, Vec<Effect>) {
+        self.s.now = now;
+        if self.began > now {
+            (self.began, self.s.stepped_at) = (now, now);
+        }
+        let mut asked: Vec<Asked> = Vec::new();
+        for input in heard {
+            match input {
+                Input::Outcome(outcome) => self.ended(outcome),
+                Input::Prescription(new) => self.prescription = (**new).clone(),
+                Input::Retrieval(new) => asked.push(Asked {
+                    id: new.id,
+                    group: new.group,
+                    caller: new.caller,
+                    attempt: new.attempt,
+                    parts: 0,
+                }),
+                Input::Part(part) => {
+                    let own = asked.iter_mut().rev().find(|asked| asked.group == part.group);
+                    own.into_iter().for_each(|asked| asked.parts += 1);
+                }
+                _ => {}
+            }
+        }
+        let mut effects = self.step();
+        let (mut groups, mut ids) = (BTreeSet::<GroupNo>::new(), BTreeSet::<RetrievalId>::new());
+        for asked in &asked {
+            match self.decide(asked) {
+                (Told::Passed, _) => {}
+                (Told::Retries | Told::Share, stay_away) => {
+                    groups.insert(asked.group);
+                    ids.insert(asked.id);
+                    effects.push(Effect::Decline { retrieval: asked.id, stay_away });
+                }
+            }
+        }
+        let kept = |input: &&Input| match input {
+            Input::Retrieval(new) => !ids.contains(&new.id),
+            Input::Part(part) => !groups.contains(&part.group),
+            Input::CallerLeft(id) => !ids.contains(id),
+            _ => true,
+        };
+        (heard.iter().filter(kept).cloned().collect(), effects)
+    }
+
+    /// Sees what the module did: what it turned away counts as crowding.
+    pub fn saw(&mut self, effects: &[Effect]) {
+        let declined = effects.iter().filter(|effect| matches!(effect, Effect::Decline { .. })).count();
+        let pushes = effects.iter().filter(|effect| matches!(effect, Effect::Push { .. })).count();
+        let (now, window) = (self.s.now, self.a.window);
+        self.s.turned.count(now, window, declined as f64, 0.0);
+        self.s.sent.count(now, window, 0.0, pushes as f64);
+    }
+
+    // ---- steps
+
+    /// The loop that reads `STEPS`, once for each step that has passed since the last, a window's at most.
+    fn step(&mut self) -> Vec<Effect> {
+        let slice = Tenths((self.a.window.0 / STEPS_A_WINDOW).max(1));
+        let passed = ((self.s.now - self.s.stepped_at).0 / slice.0).min(STEPS_A_WINDOW);
+        if passed == 0 {
+            return Vec::new();
+        }
+        self.s.stepped_at = self.s.now;
+        let was = self.mode;
+        for _ in 0..passed {
+            let found = if self.is_harmed() { Harmed } else { Calm };
+            let row = STEPS.iter().find(|row| row.0 == self.mode && row.1 == found && row.2(self));
+            if let Some(Step(_, _, _, next, act)) = row {
+                self.mode = *next;
+                act(self);
+            }
+        }
+        self.forget_callers();
+        if self.mode == Crowded {
+            self.share_out();
+        }
+        let word = match (was, self.mode) {
+            (Open, Crowded) => format!("door crowded: {:.0} parts a second are let in", self.s.rate),
+            (Crowded, Open) => "door open: all are let in again".to_owned(),
+            _ => return Vec::new(),
+        };
+        vec![Effect::Say(word)]
+    }
+
+    /// Pressure as the design counts it, or the module's declines, past the level; out of as many as make
+    /// one of them the level, where fewer were counted.
+    fn is_harmed(&self) -> bool {
+        let (now, window, least) = (self.s.now, self.a.window, 1.0 / self.a.level);
+        let harm = self.s.harm.share(now, window.times(LATELY), least);
+        let (declined, _) = self.s.turned.sums(now, window);
+        let (_, let_in) = self.s.let_in.sums(now, window);
+        harm > self.a.level || declined / let_in.max(least) > self.a.level
+    }
+
+    /// What the hosts did of late.
+    fn close_in(&mut self) {
+        self.s.rate = self.floor().max(self.estimate());
+        (self.s.cut_at, self.s.peak) = (self.s.now, self.s.rate);
+        for caller in self.s.callers.values_mut() {
+            caller.tokens = f64::INFINITY;
+        }
+    }
+
+    fn slow_down(&mut self) {
+        self.s.peak = self.s.rate;
+        self.s.rate = self.floor().max(self.s.rate * self.a.decrease);
+        self.s.cut_at = self.s.now;
+    }
+
+    /// Parts asked a second that the hosts did of late: parts that they finished, as many as were asked for
+    /// each that the module sent. Guards against a rate that follows harm alone: harm is heard late, and a
+    /// rate that grows until it is heard overshoots by as much again.
+    fn estimate(&self) -> f64 {
+        let (now, window) = (self.s.now, self.a.window);
+        let ((_, finished), (_, sent)) = (self.s.delivered.sums(now, window), self.s.sent.sums(now, window));
+        let (_, asked) = self.s.let_in.sums(now, window);
+        finished * asked / sent.max(1.0) / self.seen()
+    }
+
+    /// Guards against a rate that falls to nothing by harm that came of what was let in before the last cut.
+    fn may_cut(&self) -> bool {
+        self.s.now - self.s.cut_at >= self.a.window.times(HOLD)
+    }
+
+    /// Up by an increase a step to where the last cut was, and past it by an increase a window. Guards
+    /// against a rate that overshoots by what harm, heard late, does not yet tell: past the last cut it was
+    /// too much before.
+    fn speed_up(&mut self) {
+        let (rate, peak, increase) = (self.s.rate, self.s.peak, self.a.increase);
+        let past = rate + peak * increase / STEPS_A_WINDOW as f64;
+        self.s.rate = if rate < peak { (rate * (1.0 + increase)).min(peak) } else { past };
+    }
+
+    fn open_up(&mut self) {
+        self.s.rate = 0.0;
+    }
+
+    /// The rate is well over what is asked: the door need not be crowded.
+    fn roomy(&self) -> bool {
+        self.s.rate >= self.a.open_above * self.asked_rate()
+    }
+
+    /// Guards against a rate that falls to nothing while every step finds harm: one that never lets anything
+    /// in can never find calm. As many parts a window as make one refusal the level.
+    fn floor(&self) -> f64 {
+        1.0 / self.a.level / self.seconds()
+    }
+
+    fn seconds(&self) -> f64 {
+        self.a.window.as_ms() / 1000.0
+    }
+
+    /// Seconds of the window that the door has seen: a door that began lately has counted less.
+    fn seen(&self) -> f64 {
+        let since = (self.s.now - self.began).min(self.a.window);
+        (since.as_ms() / 1000.0).max(self.seconds() / STEPS_A_WINDOW as f64)
+    }
+
+    fn asked_rate(&self) -> f64 {
+        let (now, window) = (self.s.now, self.a.window);
+        let all: f64 = self.s.callers.values().map(|caller| caller.asked.sums(now, window).1).sum();
+        all / self.seen()
+    }
+
+    fn rate_if_crowded(&self) -> f64 {
+        if self.mode == Crowded { self.s.rate } else { 0.0 }
+    }
+
+    /// Max-min fairness by water-filling: callers in the order of what they ask for, by weight; who asks
+    /// for less than an even share of what is left gets what it asks and an increase more, the rest is
+    /// split among the others.
+    fn share_out(&mut self) {
+        let (now, window, seconds) = (self.s.now, self.a.window, self.seen());
+        let mut callers: Vec<(f64, f64, CallerNo)> = self
+            .s
+            .callers
+            .iter()
+            .map(|(no, caller)| (caller.asked.sums(now, window).1 / seconds, self.weight(*no), *no))
+            .collect();
+        callers.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)).then(a.2.cmp(&b.2)));
+        let (mut left, mut weights) = (self.s.rate, callers.iter().map(|caller| caller.1).sum::<f64>());
+        for (asks, weight, no) in callers {
+            let even = left * weight / weights.max(f64::MIN_POSITIVE);
+            let share = (asks * (1.0 + self.a.increase)).min(even);
+            (left, weights) = ((left - share).max(0.0), weights - weight);
+            if let Some(caller) = self.s.callers.get_mut(&no) {
+                (caller.share, caller.held) = (share, share < asks * (1.0 + self.a.increase));
+            }
+        }
+    }
+
+    /// A caller's weight: its quota where one is stated, else the mean of those stated, else 1.
+    fn weight(&self, no: CallerNo) -> f64 {
+        let quotas = &self.prescription.callers;
+        if quotas.is_empty() {
+            return 1.0;
+        }
+        let mean = quotas.values().map(|caller| caller.quota_per_s).sum::<f64>() / quotas.len() as f64;
+        quotas.get(&no).map_or(mean, |caller| caller.quota_per_s).max(f64::MIN_POSITIVE)
+    }
+
+    /// Guards against a memory that grows with every caller ever seen: one that asked nothing for a window
+    /// is forgotten, as it would start anew with a full bucket.
+    fn forget_callers(&mut self) {
+        let (now, window) = (self.s.now, self.a.window);
+        self.s.callers.retain(|_, caller| caller.asked.sums(now, window).1 > 0.0);
+    }
+
+    // ---- retrievals
+
+    /// The loop that reads `RULES`: what the retrieval is told, and when to come back if declined.
+    fn decide(&mut self, asked: &Asked) -> (Told, Tenths) {
+        let asked = &Asked { caller: self.known(asked.caller), ..*asked };
+        let (parts, now, window) = (f64::from(asked.parts), self.s.now, self.a.window);
+        self.caller(asked.caller).asked.count(now, window, 0.0, parts);
+        let rule = RULES.iter().find(|rule| rule.0 == self.mode && rule.1(self, asked));
+        let Some(Rule(_, _, told, act)) = rule else { return (Told::Passed, Tenths::ZERO) };
+        act(self, asked);
+        self.counts[*told as usize] += 1;
+        if !matches!(told, Told::Retries | Told::Share) {
+            self.s.let_in.count(now, window, 0.0, parts);
+            self.s.turned.count(now, window, 0.0, 1.0);
+            return (*told, Tenths::ZERO);
+        }
+        self.caller(asked.caller).asked.count(now, window, parts, 0.0);
+        (*told, self.stay_away())
+    }
+
+    /// Guards against a memory bounded by nothing: past the most, callers share one.
+    fn known(&self, no: CallerNo) -> CallerNo {
+        let full = self.s.callers.len() >= self.a.most_callers as usize;
+        if full && !self.s.callers.contains_key(&no) { CallerNo(u32::MAX) } else { no }
+    }
+
+    fn caller(&mut self, no: CallerNo) -> &mut Caller {
+        let now = self.s.now;
+        let even = self.rate_if_crowded() / (self.s.callers.len() + 1) as f64;
+        self.s.callers.entry(no).or_insert_with(|| Caller {
+            share: even,
+            tokens: f64::INFINITY,
+            counted_at: now,
+            ..Caller::default()
+        })
+    }
+
+    fn count_try(&mut self, asked: &Asked) {
+        let retry = f64::from(u8::from(asked.attempt > 0));
+        let (now, window) = (self.s.now, self.a.window);
+        self.caller(asked.caller).tries.count(now, window, retry, 1.0 - retry);
+    }
+
+    /// A retry, and the caller's retries of late are past a share of its first tries and a few.
+    fn retries_over(&mut self, asked: &Asked) -> bool {
+        let (now, window, a) = (self.s.now, self.a.window, &self.a);
+        let (share, floor) = (a.retry_share, a.retry_floor);
+        let (retries, firsts) = self.caller(asked.caller).tries.sums(now, window);
+        asked.attempt > 0 && retries + 1.0 > floor + share * firsts
+    }
+
+    /// Its caller asks for less than an even share: the bucket is for who asks for more.
+    fn within(&mut self, asked: &Asked) -> bool {
+        !self.caller(asked.caller).held
+    }
+
+    /// Others ask too, and shares are kept: one caller alone has its excess cut by the module.
+    fn others_ask(&mut self, asked: &Asked) -> bool {
+        if !self.a.shares {
+            return false;
+        }
+        let (now, window) = (self.s.now, self.a.window);
+        let others = self.s.callers.iter().filter(|(no, _)| **no != asked.caller);
+        others.clone().any(|(_, caller)| caller.asked.sums(now, window).1 > 0.0)
+    }
+
+    /// The bucket holds the retrieval's parts, or is full.
+    fn bucket_holds(&mut self, asked: &Asked) -> bool {
+        let depth = self.depth(asked.caller);
+        let caller = self.fill(asked.caller);
+        caller.tokens >= f64::from(asked.parts) || caller.tokens >= depth
+    }
+
+    fn take(&mut self, asked: &Asked) {
+        self.count_try(asked);
+        self.fill(asked.caller).tokens -= f64::from(asked.parts);
+    }
+
+    fn depth(&mut self, no: CallerNo) -> f64 {
+        let burst = self.a.burst.as_ms() / 1000.0;
+        (self.caller(no).share * burst).max(1.0)
+    }
+
+    /// The bucket as it is now: its share since it was counted, up to its depth.
+    fn fill(&mut self, no: CallerNo) -> &mut Caller {
+        let (now, depth) = (self.s.now, self.depth(no));
+        let caller = self.caller(no);
+        let since = (now - caller.counted_at).as_ms() / 1000.0;
+        caller.tokens = (caller.tokens + caller.share * since).min(depth);
+        caller.counted_at = now;
+        caller
+    }
+
+    /// When a retry may find its budget again: after the half of a window in which a cut is judged; none
+    /// where the prescription does not let callers be told.
+    fn stay_away(&self) -> Tenths {
+        let limits = &self.prescription.limits;
+        let wait = self.a.window.times(HOLD).min(limits.longest_stay_away).max(Tenths(1));
+        if limits.stay_away { wait } else { Tenths::ZERO }
+    }
+
+    // ---- ends
+
+    fn ended(&mut self, outcome: &PushOutcome) {
+        if let Some((_, counts, harm)) = ENDS.iter().find(|end| end.0 == outcome.end).filter(|end| end.1) {
+            let (now, window) = (self.s.now, self.a.window);
+            let (harm, counts) = (f64::from(u8::from(*harm)), f64::from(u8::from(*counts)));
+            self.s.harm.count(now, window.times(LATELY), harm, counts);
+        }
+        if outcome.end == PushEnd::Finished {
+            self.s.delivered.count(self.s.now, self.a.window, 0.0, 1.0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,35 @@
+//! The door before one broker's module: who gets in when there is not room for all.
+//!
+//! A front makes a [`Door`] from an [`Allowance`] and the broker's [`Prescription`], and puts it with the
+//! module in a [`Gated`]; it then calls [`Gated::turn`] where it called [`Broker::turn`]. The door sees every
+//! input before the module does and every effect after. It holds nothing back: each retrieval is passed on
+//! or declined in the same turn, with the time to come back where the prescription allows one. No I/O, no
+//! clock: time comes in with each turn.
+//!
+//! The door is open until the design's pressure (parts refused as full or timed out), or the module's own
+//! declines, pass the allowance's level; then it is crowded, and lets in a rate of parts that it lowers while
+//! that lasts and raises while it does not, shared between callers by max-min fairness, each with a bucket.
+//! Retries while crowded have a budget by caller. `docs/admission.md` tells why; the tables stand in
+//! `door.rs`.
+//!
+//! ```
+//! use admission::{Allowance, Door, Gated};
+//! use barleydrum::{Broker, Input, Prescription, Tenths};
+//!
+//! let prescription = Prescription::default();
+//! let door = Door::new(Allowance::default(), &prescription).expect("the defaults are sound");
+//! let mut gated = Gated::new(door, Broker::start(prescription, 7, Tenths(0)));
+//! assert!(gated.turn(Tenths(50), &[Input::Woken]).is_empty());
+//! ```
+//!
+//! [`Broker::turn`]: barleydrum::Broker::turn
+//! [`Prescription`]: barleydrum::Prescription
+
+mod allowance;
+mod door;
+mod gated;
+mod state;
+
+pub use allowance::{Allowance, Wrong};
+pub use door::{Door, Mode, Told};
+pub use gated::Gated;
--- /dev/null
+++ b/crates/admission/src/state.rs
@@ -0,0 +1,53 @@
+//! What the door remembers, by how long it lives: a retrieval for the turn in which it is asked, a caller
+//! while it asks, the door for as long as the broker runs.
+
+use barleydrum::{CallerNo, GroupNo, RetrievalId, Tenths, Window};
+use std::collections::BTreeMap;
+
+/// A retrieval that is asked in this turn.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked {
+    pub id: RetrievalId,
+    pub group: GroupNo,
+    pub caller: CallerNo,
+    pub attempt: u32,
+    /// Its parts, as they come in the same turn.
+    pub parts: u32,
+}
+
+/// A caller, while it asks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Caller {
+    /// Parts asked (as `all`); of these, in retrievals that were declined (as `harmed`).
+    pub asked: Window,
+    /// Retries let in (as `harmed`), first tries let in (as `all`).
+    pub tries: Window,
+    /// Parts a second, while the door is crowded; and whether that is less than it asks for.
+    pub share: f64,
+    pub held: bool,
+    /// Parts in its bucket, and when they were counted.
+    pub tokens: f64,
+    pub counted_at: Tenths,
+}
+
+/// The door's own.
+#[derive(Debug, Default)]
+pub struct Instance {
+    pub now: Tenths,
+    /// Parts let in a second, while crowded.
+    pub rate: f64,
+    pub stepped_at: Tenths,
+    /// When the rate was last lowered, and from what.
+    pub cut_at: Tenths,
+    pub peak: f64,
+    /// Parts refused as full or timed out (as `harmed`), of all that ended.
+    pub harm: Window,
+    /// Retrievals that the module declined (as `harmed`), of all let in.
+    pub turned: Window,
+    /// Parts let in (as `all`).
+    pub let_in: Window,
+    /// Pushes that the module sent, and that ended finished (as `all`).
+    pub sent: Window,
+    pub delivered: Window,
+    pub callers: BTreeMap<CallerNo, Caller>,
+}
--- /dev/null
+++ b/crates/admission/tests/door.rs
@@ -0,0 +1,333 @@
+//! The door's decisions, each case a failure it is there for.
+
+use admission::{Allowance, Door, Gated, Mode};
+use barleydrum::*;
+use rstest::rstest;
+
+/// One broker, two nodes, quotas as given, callers may be told when to come back.
+fn prescription(quotas: &[f64]) -> Prescription {
+    let mut p = Prescription { brokers: 1, period: Tenths(50), ..Prescription::default() };
+    p.layout = Layout { cells: 2, reach: 1, shards: 2, per_call: 1 };
+    p.limits = Limits {
+        most_open: 1000,
+        most_pushes: 3,
+        stay_away: true,
+        longest_stay_away: Tenths(20_000),
+        ..Limits::default()
+    };
+    let category = Category {
+        goal_time: Tenths(10_000),
+        cut_off: Tenths(20_000),
+        payoff: 1.0,
+        least_share: 1.0,
+        whole_from: 1.0,
+        ..Category::default()
+    };
+    p.categories.insert(CategoryNo(0), category);
+    for (no, quota) in quotas.iter().enumerate() {
+        p.callers.insert(CallerNo(no as u32), Caller { quota_per_s: *quota });
+    }
+    p
+}
+
+/// Hands out ids, and what a turn brings.
+#[derive(Default)]
+struct Asking {
+    next: u64,
+}
+
+impl Asking {
+    /// A retrieval of a caller with so many parts, asked for the `attempt`th time.
+    fn ask(&mut self, caller: u32, parts: u32, attempt: u32) -> Vec<Input> {
+        self.next += 1;
+        let (id, group) = (RetrievalId(self.next), GroupNo(self.next as u32));
+        let time_left = Tenths(20_000);
+        let new = NewRetrieval {
+            id,
+            group,
+            category: CategoryNo(0),
+            caller: CallerNo(caller),
+            time_left,
+            work: Tenths::ZERO,
+            attempt,
+        };
+        let mut heard = vec![Input::Retrieval(new)];
+        for no in 0..parts {
+            let part = NewPart {
+                id: PartId(self.next * 100 + u64::from(no)),
+                group,
+                shard: ShardNo(0),
+                weight: 1.0,
+            };
+            heard.push(Input::Part(part));
+        }
+        heard
+    }
+}
+
+fn ended(end: PushEnd, count: usize) -> Vec<Input> {
+    let outcome = |no: usize| PushOutcome {
+        part: PartId(900_000 + no as u64),
+        push: PushNo(0),
+        node: NodeId(1),
+        end,
+        took: Tenths(100),
+    };
+    (0..count).map(|no| Input::Outcome(outcome(no))).collect()
+}
+
+/// The module pushes each part that the door passed.
+fn pushed(passed: &[Input]) -> Vec<Effect> {
+    let push = |input: &Input| match input {
+        Input::Part(part) => Some(Effect::Push { part: part.id, node: NodeId(1), time_out: Tenths(10_000) }),
+        _ => None,
+    };
+    passed.iter().filter_map(push).collect()
+}
+
+fn declines(effects: &[Effect]) -> Vec<(RetrievalId, Tenths)> {
+    let declined = |effect: &Effect| match effect {
+        Effect::Decline { retrieval, stay_away } => Some((*retrieval, *stay_away)),
+        _ => None,
+    };
+    effects.iter().filter_map(declined).collect()
+}
+
+fn retrievals(passed: &[Input]) -> Vec<RetrievalId> {
+    by_caller(passed).into_iter().map(|(id, _)| id).collect()
+}
+
+fn by_caller(passed: &[Input]) -> Vec<(RetrievalId, u32)> {
+    let taken = |input: &Input| match input {
+        Input::Retrieval(new) => Some((new.id, new.caller.0)),
+        _ => None,
+    };
+    passed.iter().filter_map(taken).collect()
+}
+
+/// Hosts that finish so many parts a step, of those passed the step before, and refuse the rest as full.
+struct Hosts {
+    each_step: usize,
+    out: Vec<Effect>,
+}
+
+impl Hosts {
+    /// A step of half a second: what ended comes in with what is asked, the door passes, the module pushes.
+    fn step(&mut self, door: &mut Door, now: Tenths, mut heard: Vec<Input>) -> (Vec<Input>, Vec<Effect>) {
+        let done = std::mem::take(&mut self.out).len();
+        heard.extend(ended(PushEnd::Finished, done.min(self.each_step)));
+        heard.extend(ended(PushEnd::Full, done.saturating_sub(self.each_step)));
+        let (passed, effects) = door.pass(now, &heard);
+        self.out = pushed(&passed);
+        door.saw(&self.out);
+        (passed, effects)
+    }
+}
+
+/// A door that its hosts' refusals have crowded: the callers ask twice what the hosts do, for ten seconds.
+fn crowded(door: &mut Door, hosts: &mut Hosts, asking: &mut Asking, callers: &[u32]) -> Tenths {
+    for at in 0..20 {
+        let parts = (hosts.each_step * 2 / callers.len()) as u32;
+        let heard: Vec<Input> = callers.iter().flat_map(|caller| asking.ask(*caller, parts, 0)).collect();
+        hosts.step(door, Tenths(at * 5000), heard);
+    }
+    assert_eq!(door.mode(), Mode::Crowded);
+    Tenths(100_000)
+}
+
+/// On a calm day the door changes nothing: the module behind it does what it does alone, to the effect.
+#[rstest]
+fn a_calm_door_changes_nothing() {
+    let p = prescription(&[]);
+    let roll = Roll {
+        kind: RollKind::Full,
+        entries: (0..2)
+            .map(|node| RollEntry {
+                node: NodeId(node),
+                zone: ZoneNo(0),
+                cell: CellNo(node as u32),
+                standing: Standing::Ready,
+                started: None,
+            })
+            .collect(),
+    };
+    let door = Door::new(Allowance::default(), &p).unwrap();
+    let mut gated = Gated::new(door, Broker::start(p.clone(), 3, Tenths(0)));
+    let mut alone = Broker::start(p, 3, Tenths(0));
+    let mut asking = Asking::default();
+    let mut heard = vec![Input::Roll(roll)];
+    for at in 1..200 {
+        heard.extend(asking.ask(at % 3, 2, at % 2));
+        let (now, both) = (Tenths(i64::from(at) * 100), std::mem::take(&mut heard));
+        let effects = gated.turn(now, &both);
+        assert_eq!(effects, alone.turn(now, &both), "at {now:?}");
+        // What was pushed is finished by the next turn.
+        for effect in effects {
+            if let Effect::Push { part, node, .. } = effect {
+                let end = PushEnd::Finished;
+                heard.push(Input::Outcome(PushOutcome {
+                    part,
+                    push: PushNo(0),
+                    node,
+                    end,
+                    took: Tenths(90),
+                }));
+            }
+        }
+    }
+    assert_eq!(gated.door.mode(), Mode::Open);
+}
+
+/// Harm past the level crowds the door; a rate of parts is let in, and it says so.
+#[rstest]
+fn harm_crowds_the_door() {
+    let mut door = Door::new(Allowance::default(), &prescription(&[])).unwrap();
+    let mut asking = Asking::default();
+    let mut said = Vec::new();
+    for at in 0..20 {
+        let mut heard = asking.ask(0, 2, 0);
+        heard.extend(ended(if at < 10 { PushEnd::Finished } else { PushEnd::Full }, 4));
+        said.extend(door.pass(Tenths(at * 5000), &heard).1);
+    }
+    assert_eq!(door.mode(), Mode::Crowded);
+    assert!(door.rate() > 0.0);
+    assert!(said.iter().any(|effect| matches!(effect, Effect::Say(word) if word.contains("crowded"))));
+}
+
+/// While crowded, retries past a share of first tries and a few are declined at once, told when to come
+/// back, and never reach the module; first tries still pass.
+#[rstest]
+fn retries_past_their_budget_are_declined_at_once() {
+    let mut door =
+        Door::new(Allowance { retry_floor: 2.0, ..Allowance::default() }, &prescription(&[])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let now = crowded(&mut door, &mut hosts, &mut asking, &[0]);
+    let heard: Vec<Input> = (0..40).flat_map(|_| asking.ask(0, 1, 1)).collect();
+    let (passed, effects) = hosts.step(&mut door, now, heard);
+    let declined = declines(&effects);
+    assert!(!declined.is_empty(), "{effects:?}");
+    assert!(declined.iter().all(|(_, wait)| *wait > Tenths::ZERO && *wait <= Tenths(20_000)));
+    let passed_ids: Vec<RetrievalId> = retrievals(&passed);
+    assert!(declined.iter().all(|(id, _)| !passed_ids.contains(id)));
+    let parts = passed.iter().filter(|input| matches!(input, Input::Part(_))).count();
+    assert_eq!(parts, passed_ids.len(), "the declined ones' parts stay away from the module too");
+    let (passed, effects) = door.pass(now, &asking.ask(0, 1, 0));
+    assert!(declines(&effects).is_empty() && retrievals(&passed).len() == 1);
+}
+
+/// Hosts that do 40 parts a second; one caller asks for 80, another for 8. The second passes, all of it;
+/// the first is declined for what is beyond its share, at once.
+#[rstest]
+fn who_asks_most_is_held_to_its_share() {
+    let mut door = Door::new(Allowance::default(), &prescription(&[])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let mut now = crowded(&mut door, &mut hosts, &mut asking, &[0, 1]);
+    let (mut storm, mut quiet) = ((0, 0), (0, 0));
+    for step in 0..40 {
+        now += Tenths(5000);
+        let mut heard: Vec<Input> = (0..10).flat_map(|_| asking.ask(0, 4, 0)).collect();
+        heard.extend(asking.ask(1, 4, 0));
+        let (passed, effects) = hosts.step(&mut door, now, heard);
+        if step < 20 {
+            // What each asked before is still in the window.
+            continue;
+        }
+        let passed = by_caller(&passed);
+        storm.0 += declines(&effects).len();
+        storm.1 += passed.iter().filter(|(_, caller)| *caller == 0).count();
+        quiet.0 += passed.iter().filter(|(_, caller)| *caller == 1).count();
+        quiet.1 += 1;
+    }
+    assert_eq!(door.mode(), Mode::Crowded);
+    assert_eq!(quiet.0, quiet.1, "the quiet caller passes, within its share");
+    assert_eq!(quiet.1, 20);
+    assert!(storm.0 > 60 && storm.1 > 20, "declined and passed of the first: {storm:?}");
+}
+
+/// A caller alone is never declined for its share: its excess is the module's to cut.
+#[rstest]
+fn a_lone_caller_is_not_declined_for_its_share() {
+    let mut door = Door::new(Allowance::default(), &prescription(&[])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let mut now = crowded(&mut door, &mut hosts, &mut asking, &[0]);
+    for _ in 0..20 {
+        now += Tenths(5000);
+        let heard: Vec<Input> = (0..10).flat_map(|_| asking.ask(0, 4, 0)).collect();
+        let (passed, effects) = hosts.step(&mut door, now, heard);
+        assert!(declines(&effects).is_empty(), "{effects:?}");
+        assert_eq!(retrievals(&passed).len(), 10);
+    }
+    assert_eq!(door.mode(), Mode::Crowded);
+}
+
+/// Once less is asked than the hosts do, the rate comes up, and the door opens.
+#[rstest]
+fn calm_opens_the_door_again() {
+    let mut door = Door::new(Allowance::default(), &prescription(&[])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let mut now = crowded(&mut door, &mut hosts, &mut asking, &[0, 1]);
+    let mut said = Vec::new();
+    for _ in 0..200 {
+        now += Tenths(5000);
+        said.extend(hosts.step(&mut door, now, asking.ask(0, 8, 0)).1);
+        if door.mode() == Mode::Open {
+            break;
+        }
+    }
+    assert_eq!(door.mode(), Mode::Open, "{:.1}", door.rate());
+    assert!(said.iter().any(|effect| matches!(effect, Effect::Say(word) if word.contains("open"))));
+}
+
+/// Where the prescription does not let callers be told when to come back, a decline says nothing of it.
+#[rstest]
+fn no_time_to_come_back_where_none_may_be_told() {
+    let mut p = prescription(&[]);
+    p.limits.stay_away = false;
+    let mut door =
+        Door::new(Allowance { retry_floor: 0.0, retry_share: 0.0, ..Allowance::default() }, &p).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let now = crowded(&mut door, &mut hosts, &mut asking, &[0]);
+    let (_, effects) = door.pass(now, &asking.ask(0, 1, 3));
+    assert_eq!(declines(&effects).first().map(|(_, wait)| *wait), Some(Tenths::ZERO));
+}
+
+/// Stated quotas weigh: of two callers that both ask for more than there is, the one with four times the
+/// quota gets about four times the parts.
+#[rstest]
+fn quotas_weigh_the_shares() {
+    let mut door = Door::new(Allowance::default(), &prescription(&[4.0, 1.0])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let mut now = crowded(&mut door, &mut hosts, &mut asking, &[0, 1]);
+    let mut passed = [0_usize; 2];
+    for _ in 0..40 {
+        now += Tenths(5000);
+        let heard: Vec<Input> =
+            (0..10).flat_map(|_| [asking.ask(0, 2, 0), asking.ask(1, 2, 0)]).flatten().collect();
+        for (_, caller) in by_caller(&hosts.step(&mut door, now, heard).0) {
+            passed[caller as usize] += 1;
+        }
+    }
+    let ratio = passed[0] as f64 / passed[1].max(1) as f64;
+    assert!((2.5..6.0).contains(&ratio), "{passed:?}");
+}
+
+/// Memory is bounded: past the most callers, the rest share one.
+#[rstest]
+fn callers_past_the_most_share_one() {
+    let mut door =
+        Door::new(Allowance { most_callers: 3, ..Allowance::default() }, &prescription(&[])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let now = crowded(&mut door, &mut hosts, &mut asking, &[0]);
+    let heard: Vec<Input> = (0..50).flat_map(|caller| asking.ask(caller, 1, 0)).collect();
+    let (passed, effects) = door.pass(now, &heard);
+    assert_eq!(retrievals(&passed).len() + declines(&effects).len(), 50);
+}
+
+/// Every figure that can't be used is named at once.
+#[rstest]
+fn an_allowance_that_cant_be_used_is_named_whole() {
+    let wrong = Allowance { level: 1.5, decrease: 0.0, most_callers: 0, ..Allowance::default() };
+    let keys: Vec<&str> = wrong.check().unwrap_err().iter().map(|wrong| wrong.key).collect();
+    assert_eq!(keys, ["level", "decrease", "most_callers"]);
+    assert!(Door::new(wrong, &Prescription::default()).is_err());
+}
--- a/crates/barleydrum/src/inputs.rs
+++ b/crates/barleydrum/src/inputs.rs
@@ -78,6 +78,8 @@
     pub time_left: Tenths,
     /// The work of all its parts, roughly, where that is told; else none.
     pub work: Tenths,
+    /// How often its caller asked for it before, where that is told; else 0.
+    pub attempt: u32,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/barleydrum/src/lib.rs
+++ b/crates/barleydrum/src/lib.rs
@@ -25,4 +25,5 @@
 pub use inputs::*;
 pub use policy::Broker;
 pub use prescription::*;
+pub use state::Window;
 pub use time::Tenths;
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -235,10 +235,15 @@
 
     /// The harmed part of all, or of `least` where all is less.
     pub fn share(&self, now: Tenths, span: Tenths, least: f64) -> f64 {
+        let (harmed, all) = self.sums(now, span);
+        harmed / f64::max(all, least)
+    }
+
+    /// Harmed and all within the span.
+    pub fn sums(&self, now: Tenths, span: Tenths) -> (f64, f64) {
         let mut window = *self;
         window.roll(now, span);
-        let (harmed, all) = window.slices.iter().fold((0.0, 0.0), |(h, a), s| (h + s.0, a + s.1));
-        harmed / f64::max(all, least)
+        window.slices.iter().fold((0.0, 0.0), |(h, a), s| (h + s.0, a + s.1))
     }
 }
 
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -190,6 +190,7 @@
                     caller,
                     time_left,
                     work,
+                    attempt: 0,
                 }));
                 return self.parts(rid, &words);
             }
--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -286,6 +286,7 @@
             caller: question.caller,
             time_left: Tenths::ZERO, // filled in when the turn comes
             work: question.work,
+            attempt: 0,
         }));
         for (part, &QuestionPart { shard, weight }) in parts.iter().zip(&question.parts) {
             heard.push(Input::Part(NewPart { id: *part, group, shard, weight }));
--- a/crates/incidents/src/library.rs
+++ b/crates/incidents/src/library.rs
@@ -22,6 +22,7 @@
     "heavy-tail",
     "killer-query",
     "one-busy-broker",
+    "one-caller-storms",
     "overload-by-retries",
     "pauses-past-the-cut-off",
     "quick-errors",
--- a/crates/incidents/src/scenario.rs
+++ b/crates/incidents/src/scenario.rs
@@ -33,7 +33,7 @@
     LateRoll,
     /// Discovery tells nothing.
     SilentRoll,
-    /// `size` times as much is asked.
+    /// `size` times as much is asked; with `caller`, by that caller alone.
     Storm,
     /// Of the retrievals the share `size` is `times` as much work.
     Heavy,
@@ -102,6 +102,8 @@
     /// In which direction a cut or a delay holds: to the hosts, from them.
     pub to: bool,
     pub from: bool,
+    /// Whose traffic a storm is; none: everybody's.
+    pub caller: Option<u32>,
 }
 
 /// What a host does with work that is given up.
@@ -129,6 +131,8 @@
     pub honours: f64,
     /// The share that leaves before its time is up, at half of it.
     pub impatient: f64,
+    /// How many callers ask, each as much as the others.
+    pub callers: u32,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -182,6 +186,7 @@
     Key("backoff_ms", 0.0, 60_000.0, 50.0),
     Key("honours", 0.0, 1.0, 1.0),
     Key("impatient", 0.0, 1.0, 0.0),
+    Key("callers", 1.0, 1000.0, 1.0),
 ];
 const TROUBLE: &[Key] = &[
     Key("at", 0.0, DAY, 0.0),
@@ -194,6 +199,7 @@
     Key("cell", 0.0, 100_000.0, 0.0),
     Key("host", 0.0, 1_000_000.0, 0.0),
     Key("share", 0.0001, 1.0, 1.0),
+    Key("caller", 0.0, 999.0, 0.0),
 ];
 const WAYS: &[&str] = &["both", "to", "from"];
 
@@ -232,7 +238,18 @@
             backoff_ms: clients.number("backoff_ms", CLIENTS),
             honours: clients.number("honours", CLIENTS),
             impatient: clients.number("impatient", CLIENTS),
+            callers: clients.number("callers", CLIENTS) as u32,
         };
+        let strange = troubles.iter().filter_map(|t: &Trouble| Some((t, t.caller?)));
+        for (trouble, caller) in strange.filter(|(_, caller)| *caller >= clients.callers) {
+            let line = reading.line(&trouble.name, Some("caller"));
+            let (section, key, holds) = (trouble.name.clone(), "caller".to_owned(), caller.to_string());
+            let allowed = format!("under {}, the number of callers", clients.callers);
+            reading.mistakes.push(Mistake::Value { line, section, key, holds, allowed });
+        }
+        if !reading.mistakes.is_empty() {
+            return Err(reading.mistakes);
+        }
         Ok(Scenario {
             name: name.to_owned(),
             about: day.word("about").unwrap_or_default(),
@@ -347,6 +364,9 @@
                 self.mistakes.push(Mistake::Missing { line, section, key });
             }
         }
+        if let Some(number) = values.told("caller").filter(|_| *what != What::Storm) {
+            self.wrong(section, "caller", number.to_string(), format!("nothing with `{word}`"));
+        }
         for key in ["hall", "cell", "host", "share"] {
             if let Some(number) = values.told(key).filter(|_| !hosts) {
                 self.wrong(section, key, number.to_string(), format!("nothing with `{word}`"));
@@ -378,6 +398,7 @@
             drain_s: number("drain_s"),
             to: way != "from",
             from: way != "to",
+            caller: place("caller"),
         })
     }
 
--- a/crates/lab/src/incident.rs
+++ b/crates/lab/src/incident.rs
@@ -36,7 +36,7 @@
             Role::reissuable("report", REPORTS, REPORT_PARTS, 1.0, (3.0, 0.4)),
             Role::reissuable("lookup", 1.0 - REPORTS, LOOKUP_PARTS, 0.0, (1.0, 1.0)),
         ],
-        callers: vec![1.0],
+        callers: vec![1.0; scenario.clients.callers.max(1) as usize],
         quota_per_s: None,
         drains: 0.0,
         drain_for: 20_000,
@@ -45,15 +45,19 @@
     }
 }
 
-/// How much more is asked at a moment, and which share is how many times the work.
-struct Demand<'a>(&'a [Moment]);
+/// How much more each caller asks at a moment, and which share is how many times the work.
+struct Demand<'a>(&'a [Moment], usize);
 
 impl Demand<'_> {
-    fn at(&self, now: Tenths) -> (f64, f64, f64) {
-        let (mut times, mut heavy) = (1.0, (0.0, 1.0));
+    fn at(&self, now: Tenths) -> (Vec<f64>, f64, f64) {
+        let (mut times, mut heavy) = (vec![1.0; self.1], (0.0, 1.0));
         for moment in self.0.iter().take_while(|moment| moment.at <= now) {
             match moment.act {
-                Act::Storm { times: more, begins } => times *= if begins { more } else { 1.0 / more },
+                Act::Storm { times: more, caller, begins } => {
+                    let whose = times.iter_mut().enumerate();
+                    let theirs = whose.filter(|(no, _)| caller.is_none_or(|caller| caller as usize == *no));
+                    theirs.for_each(|(_, times)| *times *= if begins { more } else { 1.0 / more });
+                }
                 Act::Heavy { share, times, begins } => {
                     heavy = if begins { (share, times) } else { (0.0, 1.0) }
                 }
@@ -64,6 +68,22 @@
     }
 }
 
+/// A caller drawn by how much each asks; with one caller no lot is drawn, so that a day stays as it was.
+fn whose(rng: &mut fastrand::Rng, times: &[f64]) -> usize {
+    if times.len() < 2 {
+        return 0;
+    }
+    let mut lot = rng.f64() * times.iter().sum::<f64>();
+    let last = times.len() - 1;
+    times
+        .iter()
+        .position(|times| {
+            lot -= times;
+            lot < 0.0
+        })
+        .unwrap_or(last)
+}
+
 fn exponential(rng: &mut fastrand::Rng) -> f64 {
     -(1.0 - rng.f64()).ln()
 }
@@ -79,13 +99,14 @@
         .filter(|moment| matches!(moment.act, Act::Storm { .. } | Act::Heavy { .. }))
         .copied()
         .collect();
-    let demand = Demand(&changes);
+    let demand = Demand(&changes, staging.callers.len());
     let mut entries: Vec<Entry> = (0..staging.hosts)
         .map(|host| Entry { at: 0, what: Happens::Host { host, event: HostEvent::Warm } })
         .collect();
     let mut at = 0.2;
     loop {
-        let (times, share, more) = demand.at(Tenths::from_ms(at * 1000.0));
+        let (callers, share, more) = demand.at(Tenths::from_ms(at * 1000.0));
+        let times = callers.iter().sum::<f64>() / callers.len() as f64;
         at += exponential(&mut rng) / (a_second * times);
         if at >= seconds {
             break;
@@ -102,7 +123,8 @@
             ((first + rank) % staging.shards, weight / total, us.max(100))
         };
         let parts = (0..).zip(raw).map(part).collect();
-        entries.push(Entry { at: (at * 10_000.0) as u64, what: Happens::Ask { category, caller: 0, parts } });
+        let caller = whose(&mut rng, &callers);
+        entries.push(Entry { at: (at * 10_000.0) as u64, what: Happens::Ask { category, caller, parts } });
     }
     Plan { entries, jobs_out: 0, machines_out: 0, running: 0, ms_per_unit: 1.0 }
 }
@@ -167,6 +189,16 @@
     (mean, factor.map(|factor| factor * spread / n.sqrt()))
 }
 
+/// Each caller's service, the mean over days.
+fn by_caller(days: &[Outcome]) -> Vec<f64> {
+    let callers = days.iter().map(|day| day.by_caller.len()).max().unwrap_or(0);
+    let mean = |no: usize| {
+        let told: Vec<f64> = days.iter().filter_map(|day| day.by_caller.get(no)?.told()).collect();
+        told.iter().sum::<f64>() / told.len().max(1) as f64
+    };
+    (0..callers).map(mean).collect()
+}
+
 pub fn told(days: &[Outcome], over: usize) -> Value {
     let mean =
         |figure: &dyn Fn(&Outcome) -> f64| days.iter().map(figure).sum::<f64>() / days.len().max(1) as f64;
@@ -180,7 +212,9 @@
         .max_by(|a, b| a.1.ratio.total_cmp(&b.1.ratio))
         .map(|(rule, near)| json!({"rule": rule, "ratio": near.ratio, "at_s": near.at.as_ms() / 1000.0}));
     let recovered: Vec<Option<usize>> = days.iter().map(|day| recovers(day, over)).collect();
+    let worst_caller = |day: &Outcome| day.by_caller.iter().filter_map(|c| c.told()).fold(1.0, f64::min);
     json!({"service": mean(&|day| day.service.share()), "worst_10_s": mean(&Outcome::worst_window),
+        "worst_caller": mean(&worst_caller), "callers": by_caller(days),
         "declined": mean(&|day| day.declined as f64 / day.retrievals.max(1) as f64),
         "pushes_a_retrieval": mean(&|day| day.pushes as f64 / day.retrievals.max(1) as f64),
         "tries_a_retrieval": mean(&|day| day.tries as f64 / day.retrievals.max(1) as f64),
--- a/crates/lab/src/incident/tests.rs
+++ b/crates/lab/src/incident/tests.rs
@@ -54,3 +54,41 @@
     let took = recovers(&outcome, day.over());
     assert!(took.is_some_and(|took| took <= 8), "{took:?}: {}", outcome.json());
 }
+
+/// (d) One caller storms: behind the door the others are served as if it did not, and the cut does not
+/// fall on them. The module alone shares the harm out, and every caller is trimmed by it.
+#[rstest]
+fn a_callers_storm_leaves_the_others_whole() {
+    let name = "one-caller-storms";
+    let scenario = Scenario::read(name, find(name).unwrap()).unwrap();
+    let quiet = |mind| {
+        let days: Vec<Outcome> = (1..=3)
+            .map(|seed| Day { scenario: &scenario, hosts: 12, brokers: 6, halls: 3, seed, mind }.play())
+            .collect();
+        let told = told(&days, 35);
+        let callers: Vec<f64> =
+            told["callers"].as_array().unwrap().iter().map(|c| c.as_f64().unwrap()).collect();
+        assert!(days.iter().all(|day| day.broken.is_empty()), "{mind:?}");
+        callers[1..].to_vec()
+    };
+    let (door, alone) = (quiet(Mind::Door), quiet(Mind::Module));
+    assert!(door.iter().all(|share| *share >= 0.975), "behind the door: {door:?}");
+    assert!(alone.iter().all(|share| *share < 0.975), "the module alone: {alone:?}");
+}
+
+/// (b) Retries behind the door have a budget: the storm kept going by them is over sooner still.
+#[rstest]
+fn retries_behind_the_door_are_over_sooner() {
+    let name = "retries-keep-it-going";
+    let scenario = Scenario::read(name, find(name).unwrap()).unwrap();
+    let took = |mind| -> usize {
+        (1..=3)
+            .map(|seed| {
+                let day = Day { scenario: &scenario, hosts: 12, brokers: 6, halls: 3, seed, mind };
+                recovers(&day.play(), day.over()).unwrap_or(60)
+            })
+            .sum()
+    };
+    let (door, alone) = (took(Mind::Door), took(Mind::Module));
+    assert!(door < alone, "seconds until sound, over three seeds: {door} behind the door, {alone} alone");
+}
--- a/crates/lab/src/rehearsal.rs
+++ b/crates/lab/src/rehearsal.rs
@@ -137,7 +137,7 @@
         words.seed + words.seeds.max(1) - 1,
         words.mind
     );
-    println!("{:<28} service  worst 10 s  declined  pushes  recovers, s", "scenario");
+    println!("{:<28} service  worst 10 s  worst caller  declined  pushes  recovers, s", "scenario");
     for row in rows {
         let figure = |key: &str| row[key].as_f64().unwrap_or(f64::NAN);
         let recovers: Vec<String> = row["recovers_s"]
@@ -147,10 +147,11 @@
             .map(|s| s.as_u64().map_or("-".to_owned(), |s| s.to_string()))
             .collect();
         print!(
-            "{:<28} {:>7.4} {:>11.4} {:>9.3} {:>7.2}  {:<12}",
+            "{:<28} {:>7.4} {:>11.4} {:>13.4} {:>9.3} {:>7.2}  {:<12}",
             row["scenario"].as_str().unwrap_or(""),
             figure("service"),
             figure("worst_10_s"),
+            figure("worst_caller"),
             figure("declined"),
             figure("pushes_a_retrieval"),
             recovers.join(" ")
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -8,6 +8,7 @@
 use crate::outcome::{Of, Outcome, Standings};
 use crate::scene::{self, PERIOD, ROLL_LATE, TRIP};
 use crate::weather::{Do, Weather};
+use admission::{Allowance, Door, Gated};
 use barleydrum::{
     Broker, CallerNo, CategoryNo, CellNo, Effect, GroupNo, Input, NewPart, NewRetrieval, NodeId, PartId,
     Prescription, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo, Standing,
@@ -27,6 +28,8 @@
     Random,
     /// The design's ordinary path, without the module's exceptions.
     Design,
+    /// The module behind its door: fair shares between callers, a rate that adapts, a budget for retries.
+    Door,
 }
 
 /// What a rehearsal is played with, beside the plan.
@@ -130,6 +133,7 @@
 
 enum Decider {
     Module(Box<Broker>),
+    Gated(Box<Gated>),
     Baseline(Box<Baseline>),
 }
 
@@ -175,7 +179,7 @@
     pub fn new(plan: Plan, staging: &Staging, cast: Cast) -> World {
         let fleet = Fleet { hosts: staging.hosts, halls: 1, cells: cast.cells, brokers: cast.brokers };
         let weather = Weather::new(fleet, TRIP, TRIP, cast.seed);
-        let clients = Clients { retries: 0, backoff_ms: 0.0, honours: 1.0, impatient: 0.0 };
+        let clients = Clients { retries: 0, backoff_ms: 0.0, honours: 1.0, impatient: 0.0, callers: 1 };
         World::scripted(plan, staging, cast, (weather, Vec::new(), clients))
     }
 
@@ -353,12 +357,14 @@
         let broker = self.weather.broker(no, self.seats.len());
         let Request { of, until, ref parts, ref mut tries, .. } = self.requests[request];
         *tries += 1;
+        let attempt = *tries - 1;
         let (parts, left) = (parts.clone(), until - self.now);
         let weights: Vec<f64> = parts.iter().map(|(_, weight, _)| *weight).collect();
         let PartNo(first) = self.audit.asked(self.now, broker, of.category, left, &weights);
         let (id, group) = (RetrievalId(no as u64), GroupNo(no as u32));
         let (category, caller) = (CategoryNo(of.category as u16), CallerNo(of.caller as u32));
-        let new = NewRetrieval { id, group, category, caller, time_left: left, work: Tenths::ZERO };
+        let work = Tenths::ZERO;
+        let new = NewRetrieval { id, group, category, caller, time_left: left, work, attempt };
         self.hear(broker, Input::Retrieval(new));
         for (part, (shard, weight, us)) in (first..).zip(&parts) {
             self.parts.push(Part { us: *us, pushes: Vec::new(), came: false });
@@ -642,6 +648,7 @@
         heard.push(Input::Woken);
         let effects = match &mut seat.decider {
             Decider::Module(module) => module.turn(self.now, &heard),
+            Decider::Gated(gated) => gated.turn(self.now, &heard),
             Decider::Baseline(baseline) => baseline.turn(self.now, &heard),
         };
         for effect in effects {
@@ -719,6 +726,11 @@
     let baseline = |how| Decider::Baseline(Box::new(Baseline::new(how, prescription, seed)));
     match cast.mind {
         Mind::Module => Decider::Module(Box::new(Broker::start(prescription.clone(), seed, now))),
+        Mind::Door => {
+            let door = Door::new(Allowance::default(), prescription)
+                .unwrap_or_else(|_| unreachable!("the door's defaults are sound"));
+            Decider::Gated(Box::new(Gated::new(door, Broker::start(prescription.clone(), seed, now))))
+        }
         Mind::Random => baseline(How::Random),
         Mind::Design => baseline(How::Design),
     }
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -170,6 +170,7 @@
                 caller,
                 time_left,
                 work,
+                attempt: 0,
             }));
         }
         let shard = ShardNo(slice as u32);
