--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -5,6 +5,7 @@
 use crate::limits::{Limits, span};
 use crate::listing::Listing;
 use crate::nodes::{Ended, Nodes, PushId, Sending};
+use admission::{Allowance, Door, Gated};
 use barleydrum::{
     Broker, CallerNo, CategoryNo, CellNo, Effect, GroupNo, Input, NewPart, NewRetrieval, NodeId, PartId,
     Prescription, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo, Standing,
@@ -156,10 +157,27 @@
     last_node: u64,
 }
 
+/// The module, or the module behind its door (`crates/admission`). There is one a broker: the platform's
+/// path, alone, is not given an indirection for the sake of size.
+#[allow(clippy::large_enum_variant)]
+enum Decider {
+    Alone(Broker),
+    Gated(Box<Gated>),
+}
+
+impl Decider {
+    fn turn(&mut self, now: Tenths, heard: &[Input]) -> Vec<Effect> {
+        match self {
+            Decider::Alone(broker) => broker.turn(now, heard),
+            Decider::Gated(gated) => gated.turn(now, heard),
+        }
+    }
+}
+
 pub struct Desk {
     limits: Rc<Limits>,
     nodes: Rc<Nodes>,
-    broker: RefCell<Broker>,
+    broker: RefCell<Decider>,
     started: (Instant, Tenths),
     heard: RefCell<Vec<Input>>,
     book: RefCell<Book>,
@@ -173,9 +191,26 @@
     pub roll_wanted: Notify,
 }
 
+/// The module alone, or behind a door whose allowance the operator's file has checked.
+fn decider(prescription: Prescription, seed: u64, now: Tenths, door: Option<Allowance>) -> Decider {
+    let door = door.and_then(|allowance| Door::new(allowance, &prescription).ok());
+    let broker = Broker::start(prescription, seed, now);
+    match door {
+        Some(door) => Decider::Gated(Box::new(Gated::new(door, broker))),
+        None => Decider::Alone(broker),
+    }
+}
+
 impl Desk {
-    /// `since`: the Unix time of this moment, where it is not the machine's that counts.
-    pub fn new(intake: Intake, seed: u64, limits: Rc<Limits>, since: Option<Tenths>) -> Rc<Desk> {
+    /// `since`: the Unix time of this moment, where it is not the machine's that counts. `door`: the door's
+    /// allowance, where there is to be one.
+    pub fn new(
+        intake: Intake,
+        seed: u64,
+        limits: Rc<Limits>,
+        since: Option<Tenths>,
+        door: Option<Allowance>,
+    ) -> Rc<Desk> {
         let edition = Rc::new(Edition::new(&intake));
         let Intake { prescription, zones, .. } = intake;
         // The roll tells starts in Unix time, so the clock counts from there, and only ever forward.
@@ -184,7 +219,7 @@
         Rc::new(Desk {
             nodes: Nodes::new(limits.clone()),
             limits,
-            broker: RefCell::new(Broker::start(prescription, seed, now)),
+            broker: RefCell::new(decider(prescription, seed, now, door)),
             started: (Instant::now(), now),
             heard: RefCell::new(vec![Input::Woken]),
             book: RefCell::default(),
@@ -633,7 +668,7 @@
             let mut intake = Intake::default();
             intake.prescription.limits.most_open = 10;
             let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
-            let desk = Desk::new(intake, 1, Rc::new(limits), None);
+            let desk = Desk::new(intake, 1, Rc::new(limits), None, None);
             let address = "127.0.0.1:9".parse().unwrap();
             desk.nodes.listens(NodeId(1), Some(address), true);
             let parts = vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }];
--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -434,7 +434,7 @@
         let machine = Machine { memory_mb: 192, sockets: 1024 };
         let limits = Limits::new(machine, &Intake::default()).unwrap();
         let limits = Rc::new(Limits { kept_lines, ..limits });
-        let desk = Desk::new(Intake::default(), 1, limits.clone(), None);
+        let desk = Desk::new(Intake::default(), 1, limits.clone(), None, None);
         Front::new(Counter { desk, limits, wrongs: Default::default() })
     }
 
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -77,7 +77,7 @@
     if order.intake.prescription.categories.values().any(|category| category.second_parts > 0) {
         warn!("a category has a second step, which this protocol lacks: its retrievals are declined");
     }
-    let desk = Desk::new(order.intake, order.seed, limits.clone(), order.since);
+    let desk = Desk::new(order.intake, order.seed, limits.clone(), order.since, fitting.admission);
     if let Some(known) = order.known {
         desk.hear_roll(RollKind::Remembered, known);
     }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -750,3 +750,22 @@
     let order = Order::read(config(&[], "127.0.0.1:1").to_string().as_bytes(), env).unwrap();
     assert_eq!((order.listen.to_string(), &order.name[..]), ("127.0.0.7:99".to_owned(), "n1"));
 }
+
+/// Behind the door, as the operator's file switches it on, what the nodes give is answered as before.
+#[rstest]
+fn answers_behind_the_door() {
+    play(async {
+        let fitting =
+            broker::Fitting { admission: Some(admission::Allowance::default()), ..Default::default() };
+        let mut stage = Stage::fitted(1, |_| (), |_| (), fitting).await;
+        for id in ["a", "b"] {
+            let mut client = stage.ask(id, "lookup", BOTH).await;
+            let (_, line, parts) = stage.call().await;
+            for part in &parts {
+                stage.nodes[0].end(line, &part.id, 'S', "v").await;
+            }
+            let reply = client.reply().await.unwrap();
+            assert_eq!(reply.status, 200, "{}", reply.body);
+        }
+    });
+}
--- a/crates/broker/tests/sockets/stand_ins.rs
+++ b/crates/broker/tests/sockets/stand_ins.rs
@@ -69,6 +69,16 @@
         nodes: usize,
         config: impl FnOnce(&mut Value),
         order: impl FnOnce(&mut Order),
+    ) -> Stage {
+        Stage::fitted(nodes, config, order, broker::Fitting::default()).await
+    }
+
+    /// The same, fitted as the operator's file says.
+    pub async fn fitted(
+        nodes: usize,
+        config: impl FnOnce(&mut Value),
+        order: impl FnOnce(&mut Order),
+        fitting: broker::Fitting,
     ) -> Stage {
         let (tell, heard) = mpsc::unbounded_channel();
         let mut all = Vec::new();
@@ -80,7 +90,7 @@
         config(&mut text);
         let mut read = Order::read(text.to_string().as_bytes(), |_| None).unwrap();
         order(&mut read);
-        let broker = broker::start(read).await.unwrap();
+        let broker = broker::start_fitted(read, fitting).await.unwrap();
         Stage { broker, nodes: all, discovery, heard }
     }
 
--- a/crates/operator/src/keys.rs
+++ b/crates/operator/src/keys.rs
@@ -42,6 +42,17 @@
     key("control", "suspect_ms",        "300000",  |v| between(v, 0.0, DAY)),
     key("control", "fleet_brokers",     "1",       |v| whole(v, 1.0, 1e6)),
     key("control", "fleet_calls_per_s", "100",     |v| between(v, 0.001, 1e6)),
+    key("admission", "door",            "off",     |v| one_of(v, &["off", "on"])),
+    key("admission", "level",           "0.1",     |v| between(v, 0.001, 0.999)),
+    key("admission", "window_ms",       "5000",    |v| between(v, 100.0, 600_000.0)),
+    key("admission", "decrease",        "0.8",     |v| between(v, 0.01, 0.99)),
+    key("admission", "increase",        "0.1",     |v| between(v, 0.001, 1.0)),
+    key("admission", "open_above",      "2",       |v| between(v, 1.0, 100.0)),
+    key("admission", "burst_ms",        "1000",    |v| between(v, 0.0, 600_000.0)),
+    key("admission", "retry_share",     "0.2",     |v| between(v, 0.0, 100.0)),
+    key("admission", "retry_floor",     "3",       |v| between(v, 0.0, 1e6)),
+    key("admission", "most_callers",    "10000",   |v| whole(v, 1.0, 1e7)),
+    key("admission", "shares",          "on",      |v| one_of(v, &["off", "on"])),
 ];
 
 const DAY: f64 = 86_400_000.0;
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub use keys::{KEYS, Key};
 
+use admission::Allowance;
 use barleydrum::Tenths;
 use control::Patience;
 use ini::{Ini, ParseOption};
@@ -25,6 +26,8 @@
 pub struct Fitting {
     pub log: LogForm,
     pub control: Option<Control>,
+    /// The door before the module, where it is switched on.
+    pub admission: Option<Allowance>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -167,6 +170,49 @@
 /// Puts sound values together.
 fn fit(taken: &mut Taken) -> Fitting {
     let log = if taken.get("log", "format") == "json" { LogForm::Json } else { LogForm::Text };
+    let admission = door(taken);
+    let control = control(taken);
+    Fitting { log, control, admission }
+}
+
+/// The door's allowance, where it is on. Keys of it with the door off are said to do nothing.
+fn door(taken: &mut Taken) -> Option<Allowance> {
+    let number = |name: &str| taken.number("admission", name);
+    let time = |name: &str| Tenths::from_ms(number(name));
+    let allowance = Allowance {
+        level: number("level"),
+        window: time("window_ms"),
+        decrease: number("decrease"),
+        increase: number("increase"),
+        open_above: number("open_above"),
+        burst: time("burst_ms"),
+        retry_share: number("retry_share"),
+        retry_floor: number("retry_floor"),
+        most_callers: number("most_callers") as u32,
+        shares: taken.get("admission", "shares") == "on",
+    };
+    if taken.get("admission", "door") != "on" {
+        let others = taken.values.iter().any(|(key, _)| key.section == "admission" && key.name != "door");
+        if others {
+            taken.mistakes.push(Mistake::Missing { section: "admission", key: "door = on" });
+        }
+        return None;
+    }
+    if let Err(wrong) = allowance.check() {
+        let line = taken.line("admission", None);
+        taken.mistakes.extend(wrong.into_iter().map(|wrong| Mistake::Value {
+            line,
+            section: "admission".to_owned(),
+            key: wrong.key.to_owned(),
+            holds: wrong.holds,
+            allowed: wrong.allowed.to_owned(),
+        }));
+    }
+    Some(allowance)
+}
+
+/// Versions from control services, where there are any.
+fn control(taken: &mut Taken) -> Option<Control> {
     let text = |name: &str| Some(taken.get("control", name)).filter(|text| !text.is_empty());
     let services: Vec<SocketAddr> = keys::addresses(&taken.get("control", "services")).unwrap_or_default();
     let installation = text("installation");
@@ -175,7 +221,7 @@
         if others {
             taken.mistakes.push(Mistake::Missing { section: "control", key: "services" });
         }
-        return Fitting { log, control: None };
+        return None;
     }
     let number = |name: &str| taken.number("control", name);
     let time = |name: &str| Tenths::from_ms(number(name));
@@ -213,7 +259,7 @@
     if installation.is_none() {
         taken.mistakes.push(Mistake::Missing { section: "control", key: "installation" });
     }
-    Fitting { log, control: Some(control) }
+    Some(control)
 }
 
 #[cfg(test)]
@@ -243,6 +289,27 @@
         }
     }
 
+    /// The door's keys stand for its defaults: the file, the page and the decisions say the same.
+    #[rstest]
+    fn the_door_is_on_with_the_defaults_of_its_decisions() {
+        let fitting = read("[admission]\ndoor = on\n").unwrap();
+        assert_eq!(fitting.admission, Some(Allowance::default()));
+        let told = read("[admission]\ndoor = on\nshares = off\nwindow_ms = 2000\n").unwrap();
+        let allowance = told.admission.unwrap();
+        assert_eq!((allowance.shares, allowance.window), (false, Tenths(20_000)));
+    }
+
+    #[rstest]
+    #[case("[admission]\nlevel = 0.2\n", "[admission] needs `door = on`")]
+    #[case("[admission]\ndoor = yes\n", "line 2: `door` of [admission] is `yes`: `off` or `on` is allowed")]
+    #[case(
+        "[admission]\ndoor = on\nlevel = 1\n",
+        "line 3: `level` of [admission] is `1`: 0.001 to 0.999 is allowed"
+    )]
+    fn names_what_is_wrong_with_the_door(#[case] text: &str, #[case] said: &str) {
+        assert_eq!(read(text).unwrap_err()[0].to_string(), said);
+    }
+
     #[rstest]
     fn reads_what_is_switched_on() {
         let text = "[log]\nformat = json\n[control]\nservices = 127.0.0.1:1, [::1]:2\ninstallation = north\n\
