Gray failure in the library: a third of the hosts, and a far hall, crawl while ready on the roll

Smoothed latency steers around them; no decision reads what hosts say of their load, so reports that they are idle mislead nothing.

--- a/crates/lab/src/incident/tests.rs
+++ b/crates/lab/src/incident/tests.rs
@@ -92,3 +92,18 @@
     let (door, alone) = (took(Mind::Door), took(Mind::Module));
     assert!(door < alone, "seconds until sound, over three seeds: {door} behind the door, {alone} alone");
 }
+
+/// (c) Gray failure: hosts that stay ready on the roll and answer what they can, at a twentieth of their
+/// speed. What the answers take steers around them; a choice that does not look, at random, loses a fifth.
+#[rstest]
+#[case("gray-third-at-the-rush")]
+#[case("far-gray-hall")]
+fn gray_hosts_are_told_by_what_answers_take(#[case] name: &str) {
+    let scenario = Scenario::read(name, find(name).unwrap()).unwrap();
+    let service = |mind| {
+        let day = Day { scenario: &scenario, hosts: 12, brokers: 6, halls: 3, seed: 1, mind };
+        day.play().service.share()
+    };
+    let (module, random) = (service(Mind::Module), service(Mind::Random));
+    assert!(module >= 0.99 && random < 0.9, "module {module}, at random {random}");
+}
