--- a/crates/admission/src/door.rs
+++ b/crates/admission/src/door.rs
@@ -5,7 +5,9 @@
 use crate::state::{Asked, Caller, Instance};
 use Found::{Calm, Harmed};
 use Mode::{Crowded, Open};
-use barleydrum::{CallerNo, Effect, GroupNo, Input, Prescription, PushEnd, PushOutcome, RetrievalId, Tenths};
+use barleydrum::{
+    CallerNo, Effect, GroupNo, Input, NewRetrieval, Prescription, PushEnd, PushOutcome, RetrievalId, Tenths,
+};
 use std::collections::BTreeSet;
 
 /// The starting values (`Allowance::default()`): the design's starting level of pressure and its window;
@@ -76,6 +78,9 @@
     /// Declined: its caller asks for more than its share, its bucket does not hold the parts, and others
     /// ask. They are not trimmed by it.
     Share,
+    /// Passed, to be served at its least share only: as `Share`, but its category takes partial answers.
+    /// The heaviest parts earn most of its payoff for a few pushes, where a decline earns nothing.
+    Least,
 }
 
 type AskGuard = fn(&mut Door, &Asked) -> bool;
@@ -90,6 +95,7 @@
     Rule(Crowded, Door::retries_over, Told::Retries, |_, _| ()),
     Rule(Crowded, Door::within,       Told::Passed,  Door::take),
     Rule(Crowded, Door::bucket_holds, Told::Passed,  Door::take),
+    Rule(Crowded, Door::partial,      Told::Least,   Door::count_try),
     Rule(Crowded, Door::others_ask,   Told::Share,   |_, _| ()),
     Rule(Crowded, |_, _| true,        Told::Passed,  Door::count_try),
 ];
@@ -113,8 +119,8 @@
     mode: Mode,
     prescription: Prescription,
     s: Instance,
-    /// What each retrieval was told, by the door's count, since it began: passed, retries, share.
-    pub counts: [u64; 3],
+    /// What each retrieval was told, by the door's count, since it began: passed, retries, share, least.
+    pub counts: [u64; 4],
     /// When it first heard anything.
     began: Tenths,
 }
@@ -124,7 +130,7 @@
     pub fn new(allowance: Allowance, prescription: &Prescription) -> Result<Door, Vec<Wrong>> {
         allowance.check()?;
         let (mode, prescription, s) = (Open, prescription.clone(), Instance::default());
-        Ok(Door { a: allowance, mode, prescription, s, counts: [0; 3], began: Tenths(i64::MAX) })
+        Ok(Door { a: allowance, mode, prescription, s, counts: [0; 4], began: Tenths(i64::MAX) })
     }
 
     pub fn mode(&self) -> Mode {
@@ -152,6 +158,7 @@
                     id: new.id,
                     group: new.group,
                     caller: new.caller,
+                    category: new.category,
                     attempt: new.attempt,
                     parts: 0,
                 }),
@@ -164,9 +171,11 @@
         }
         let mut effects = self.step();
         let (mut groups, mut ids) = (BTreeSet::<GroupNo>::new(), BTreeSet::<RetrievalId>::new());
+        let mut least = BTreeSet::<RetrievalId>::new();
         for asked in &asked {
             match self.decide(asked) {
                 (Told::Passed, _) => {}
+                (Told::Least, _) => _ = least.insert(asked.id),
                 (Told::Retries | Told::Share, stay_away) => {
                     groups.insert(asked.group);
                     ids.insert(asked.id);
@@ -180,7 +189,13 @@
             Input::CallerLeft(id) => !ids.contains(id),
             _ => true,
         };
-        (heard.iter().filter(kept).cloned().collect(), effects)
+        let held = |input: &Input| match input {
+            Input::Retrieval(new) if least.contains(&new.id) => {
+                Input::Retrieval(NewRetrieval { least_only: true, ..new.clone() })
+            }
+            _ => input.clone(),
+        };
+        (heard.iter().filter(kept).map(held).collect(), effects)
     }
 
     /// Sees what the module did: what it turned away counts as crowding.
@@ -403,6 +418,12 @@
         !self.caller(asked.caller).held
     }
 
+    /// As `others_ask`, and its category takes partial answers.
+    fn partial(&mut self, asked: &Asked) -> bool {
+        let category = self.prescription.categories.get(&asked.category);
+        category.is_some_and(|c| c.least_share < c.whole_from) && self.others_ask(asked)
+    }
+
     /// Others ask too, and shares are kept: one caller alone has its excess cut by the module.
     fn others_ask(&mut self, asked: &Asked) -> bool {
         if !self.a.shares {
--- a/crates/admission/src/state.rs
+++ b/crates/admission/src/state.rs
@@ -1,7 +1,7 @@
 //! What the door remembers, by how long it lives: a retrieval for the turn in which it is asked, a caller
 //! while it asks, the door for as long as the broker runs.
 
-use barleydrum::{CallerNo, GroupNo, RetrievalId, Tenths, Window};
+use barleydrum::{CallerNo, CategoryNo, GroupNo, RetrievalId, Tenths, Window};
 use std::collections::BTreeMap;
 
 /// A retrieval that is asked in this turn.
@@ -10,6 +10,7 @@
     pub id: RetrievalId,
     pub group: GroupNo,
     pub caller: CallerNo,
+    pub category: CategoryNo,
     pub attempt: u32,
     /// Its parts, as they come in the same turn.
     pub parts: u32,
--- a/crates/admission/tests/door.rs
+++ b/crates/admission/tests/door.rs
@@ -23,6 +23,7 @@
         whole_from: 1.0,
         ..Category::default()
     };
+    p.categories.insert(CategoryNo(1), Category { least_share: 0.4, ..category.clone() });
     p.categories.insert(CategoryNo(0), category);
     for (no, quota) in quotas.iter().enumerate() {
         p.callers.insert(CallerNo(no as u32), Caller { quota_per_s: *quota });
@@ -39,17 +40,23 @@
 impl Asking {
     /// A retrieval of a caller with so many parts, asked for the `attempt`th time.
     fn ask(&mut self, caller: u32, parts: u32, attempt: u32) -> Vec<Input> {
+        self.ask_of(CategoryNo(0), caller, parts, attempt)
+    }
+
+    /// The same, of a category.
+    fn ask_of(&mut self, category: CategoryNo, caller: u32, parts: u32, attempt: u32) -> Vec<Input> {
         self.next += 1;
         let (id, group) = (RetrievalId(self.next), GroupNo(self.next as u32));
         let time_left = Tenths(20_000);
         let new = NewRetrieval {
             id,
             group,
-            category: CategoryNo(0),
+            category,
             caller: CallerNo(caller),
             time_left,
             work: Tenths::ZERO,
             attempt,
+            least_only: false,
         };
         let mut heard = vec![Input::Retrieval(new)];
         for no in 0..parts {
@@ -76,13 +83,20 @@
     (0..count).map(|no| Input::Outcome(outcome(no))).collect()
 }
 
-/// The module pushes each part that the door passed.
+/// The module pushes each part that the door passed; of one at its least share, the first.
 fn pushed(passed: &[Input]) -> Vec<Effect> {
-    let push = |input: &Input| match input {
-        Input::Part(part) => Some(Effect::Push { part: part.id, node: NodeId(1), time_out: Tenths(10_000) }),
+    let (mut least, mut first) = (std::collections::BTreeSet::new(), std::collections::BTreeSet::new());
+    let mut push = |input: &Input| match input {
+        Input::Retrieval(new) if new.least_only => {
+            least.insert(new.group);
+            None
+        }
+        Input::Part(part) if !least.contains(&part.group) || first.insert(part.group) => {
+            Some(Effect::Push { part: part.id, node: NodeId(1), time_out: Tenths(10_000) })
+        }
         _ => None,
     };
-    passed.iter().filter_map(push).collect()
+    passed.iter().filter_map(&mut push).collect()
 }
 
 fn declines(effects: &[Effect]) -> Vec<(RetrievalId, Tenths)> {
@@ -244,6 +258,27 @@
     assert!(storm.0 > 60 && storm.1 > 20, "declined and passed of the first: {storm:?}");
 }
 
+/// Where a category takes partial answers, what is beyond a share is served at its least share, not
+/// declined: the heaviest parts earn most of its payoff for a few pushes.
+#[rstest]
+fn beyond_a_share_a_partial_one_has_its_least_share() {
+    let mut door = Door::new(Allowance::default(), &prescription(&[])).unwrap();
+    let (mut asking, mut hosts) = (Asking::default(), Hosts { each_step: 20, out: Vec::new() });
+    let mut now = crowded(&mut door, &mut hosts, &mut asking, &[0, 1]);
+    let (mut declined, mut least) = (0, 0);
+    for step in 0..40 {
+        now += Tenths(5000);
+        let mut heard: Vec<Input> = (0..10).flat_map(|_| asking.ask_of(CategoryNo(1), 0, 4, 0)).collect();
+        heard.extend(asking.ask(1, 4, 0));
+        let (passed, effects) = hosts.step(&mut door, now, heard);
+        if step >= 20 {
+            declined += declines(&effects).len();
+            least += passed.iter().filter(|i| matches!(i, Input::Retrieval(new) if new.least_only)).count();
+        }
+    }
+    assert!(declined == 0 && least > 20, "declined {declined}, at the least share {least}");
+}
+
 /// A caller alone is never declined for its share: its excess is the module's to cut.
 #[rstest]
 fn a_lone_caller_is_not_declined_for_its_share() {
--- a/crates/barleydrum/src/inputs.rs
+++ b/crates/barleydrum/src/inputs.rs
@@ -80,6 +80,8 @@
     pub work: Tenths,
     /// How often its caller asked for it before, where that is told; else 0.
     pub attempt: u32,
+    /// Only its least share is to be sent: what stands before the module holds its caller to a share.
+    pub least_only: bool,
 }
 
 #[derive(Clone, Debug)]
--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -317,7 +317,7 @@
         let (mut sent, out) = (0.0, self.s.tickets.len());
         let first = r.parts.iter().all(|part| part.pushes.is_empty());
         r.scouting = first && r.parts.len() > 1 && self.s.falls.share(self.s.now, SPAN, 1.0 / START) > START;
-        for (count, at) in self.plan(r, false).into_iter().enumerate() {
+        for (count, at) in self.plan(r, r.least_only).into_iter().enumerate() {
             if !partial || out + count < self.s.room as usize || sent + ROUNDING < least {
                 let part = &mut r.parts[at];
                 sent += part.weight;
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -129,6 +129,8 @@
     pub fallen: BTreeSet<NodeId>,
     /// Only its first part is out, the others wait for that.
     pub scouting: bool,
+    /// Only its least share is sent.
+    pub least_only: bool,
     pub parts: Vec<Part>,
 }
 
@@ -381,6 +383,7 @@
             first_whole: false,
             fallen: BTreeSet::new(),
             scouting: false,
+            least_only: new.least_only,
             parts: Vec::new(),
         }
     }
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -190,7 +190,8 @@
                     caller,
                     time_left,
                     work,
-                    attempt: 0,
+                    attempt: value(&words, "attempt", 0),
+                    least_only: words.contains(&"least-only"),
                 }));
                 return self.parts(rid, &words);
             }
--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -322,6 +322,7 @@
             time_left: Tenths::ZERO, // filled in when the turn comes
             work: question.work,
             attempt: 0,
+            least_only: false,
         }));
         for (part, &QuestionPart { shard, weight }) in parts.iter().zip(&question.parts) {
             heard.push(Input::Part(NewPart { id: *part, group, shard, weight }));
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -364,7 +364,8 @@
         let (id, group) = (RetrievalId(no as u64), GroupNo(no as u32));
         let (category, caller) = (CategoryNo(of.category as u16), CallerNo(of.caller as u32));
         let work = Tenths::ZERO;
-        let new = NewRetrieval { id, group, category, caller, time_left: left, work, attempt };
+        let least_only = false;
+        let new = NewRetrieval { id, group, category, caller, time_left: left, work, attempt, least_only };
         self.hear(broker, Input::Retrieval(new));
         for (part, (shard, weight, us)) in (first..).zip(&parts) {
             self.parts.push(Part { us: *us, pushes: Vec::new(), came: false });
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -171,6 +171,7 @@
                 time_left,
                 work,
                 attempt: 0,
+                least_only: false,
             }));
         }
         let shard = ShardNo(slice as u32);
