Load told by probe: holders are asked before the first parts go out; deaf lines

Smoothed latency, the signal of the replica rule, is missing; load reports come only by probe, and the adapter dropped them (wire.rs, Aside).

Change: where nodes may be probed and tell their load only then (Limits.Probes, Stats.Via), the holders of a retrieval's parts are asked first; parts wait for the answers a fiftieth of the goal time at the most, and parts told to wait there count beside the broker's own in the replica rule; a holder that answered nothing comes last. Parts of categories that need all of them travel on a fresh connection after half a goal time of lull; a silent push on a kept one counts as lost once patience is up, and without copies it is pushed again while a fifth of such are lost. The program sends and reads probe frames; Stats.Via, Stats.Fields and Limits.Probes are checked; off by default.

--- a/crates/barleydrum/src/effects.rs
+++ b/crates/barleydrum/src/effects.rs
@@ -18,6 +18,8 @@
     Scrap { retrieval: RetrievalId },
     /// Close this broker's idle connections to a node.
     CloseIdle { node: NodeId },
+    /// Ask a node for its load.
+    Probe { node: NodeId },
     /// Be woken after this time.
     Wake { after: Tenths },
     /// Ask to be sent the roll's changes from now on.
--- a/crates/barleydrum/src/inputs.rs
+++ b/crates/barleydrum/src/inputs.rs
@@ -28,7 +28,9 @@
     CallerLeft(RetrievalId),
     /// A wake-up that was asked for.
     Woken,
-    /// A probe's result, or word from another broker: heard, and not acted on.
+    /// What came of a probe.
+    Probed(Probed),
+    /// Word from another broker: heard, and not acted on.
     Aside,
 }
 
@@ -101,6 +103,25 @@
     pub took: Tenths,
 }
 
+/// What came of a probe.
+#[derive(Clone, Debug)]
+pub struct Probed {
+    pub node: NodeId,
+    /// It was answered; else it failed, or its time was up.
+    pub sound: bool,
+    /// The node's load report; empty where none came.
+    pub report: Vec<(Told, f64)>,
+}
+
+/// A value of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    /// Parts that wait.
+    Queue,
+    /// One that no decision reads.
+    Aside,
+}
+
 /// How a push ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PushEnd {
--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -12,6 +12,7 @@
 use crate::state::{CategoryRow, Due, Fate, Instance, Line, Node, Part, PartStage, Push, Retrieval};
 use crate::state::{Terms, Ticket};
 use crate::time::Tenths;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 /// The design page's figures: score below which a part stays unsent, the base's ceiling, the
@@ -47,6 +48,10 @@
 const ROOM_TARGET: f64 = 0.25;
 const ROOM_GROW: f64 = 1.5;
 const CROWDED: f64 = 0.5;
+/// Word of holders' load is waited for, and is news, for this share of the goal time; a holder that told
+/// nothing counts as one with so many parts ahead.
+const WORD: f64 = 0.02;
+const UNHEARD: f64 = 32.0;
 /// Answers leave before the goal time by two turns and this share of it.
 const GOAL_MARGIN: f64 = 0.02;
 
@@ -62,6 +67,8 @@
 #[rustfmt::skip]
 const TABLE: &[Row] = &[
     Row(&[Taken],    Ready,      |b, r| b.s.is_barred(r),   Over, Broker::give_up),
+    Row(&[Taken],    Ready,      Broker::may_probe,     Taken,    Broker::probe),
+    Row(&[Taken],    Ready,      Broker::awaits_word,   Taken,    |_, _| ()),
     Row(&[Taken],    Ready,      Broker::may_wait,      Taken,    Broker::wait),
     Row(&[Taken],    Ready,      Broker::no_room,       Over,     Broker::turn_away),
     Row(&[Taken],    Ready,      |_, _| true,           Asking,   Broker::ask),
@@ -196,6 +203,7 @@
             Input::Flowing(part) => self.s.bind(part),
             Input::Outcome(outcome) => self.push_ended(outcome),
             Input::CallerLeft(id) => self.signal(*id, CallerLeft),
+            Input::Probed(probed) => self.s.note_probed(probed),
             Input::Woken | Input::Aside => {}
         }
     }
@@ -270,6 +278,30 @@
         r.row.two_steps && !r.second_step
     }
 
+    /// Where only a probe brings a load report, holders are asked before the first parts go out.
+    fn may_probe(&mut self, r: &Retrieval) -> bool {
+        r.terms.prescription.load_by_probe && r.probed.is_none() && !self.without_news(r).is_empty()
+    }
+
+    /// Who holds a part of it and told nothing a moment ago.
+    fn without_news(&self, r: &Retrieval) -> BTreeSet<NodeId> {
+        let (now, wait, layout) = (self.s.now, r.row.goal.times(WORD), &r.terms.prescription.layout);
+        let old = |id: &NodeId| {
+            let node = &self.s.nodes[id];
+            let asked = node.probe_out.is_some_and(|at| now - at <= r.row.goal);
+            !asked && node.told.is_none_or(|told| now - told.at > wait)
+        };
+        r.parts.iter().flat_map(|part| self.holders(layout, part)).filter(old).collect()
+    }
+
+    /// Word of a holder may still come in time to choose by it.
+    fn awaits_word(&mut self, r: &Retrieval) -> bool {
+        let asked = r.probed.filter(|at| self.s.now - *at < r.row.goal.times(WORD));
+        let silent = |id| self.s.nodes[&id].probe_out.is_some();
+        let layout = &r.terms.prescription.layout;
+        asked.is_some() && r.parts.iter().any(|part| self.holders(layout, part).any(silent))
+    }
+
     /// Guards against queues that outgrow the goal time: a retrieval waits, and is then turned away, while
     /// even its least share passes the room, or is out of reach. With nothing out, one is always taken,
     /// however wide, so that room can grow again. Harm: what a lucky replica would have served is not.
@@ -299,6 +331,13 @@
 
     // ---- acts
 
+    fn probe(&mut self, r: &mut Retrieval) {
+        self.without_news(r).into_iter().for_each(|id| self.s.probe(id));
+        r.probed = Some(self.s.now);
+        self.s.probing.insert(r.id);
+        self.s.agenda.insert((self.s.now + r.row.goal.times(WORD), Due::Room(r.id)));
+    }
+
     fn wait(&mut self, r: &mut Retrieval) {
         self.s.waiting.insert(r.id);
         self.later(r.row.goal, Due::Room(r.id));
@@ -460,19 +499,32 @@
         let (id, within_share, category, out) = (part.id, r.within_share, r.category, self.s.out_at_turn);
         let crowded = out >= self.s.room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
-        let (lull, cold) = (self.line_after_lull(node), self.is_cold(node));
+        let (lull, cold) = (self.line_after_lull(node, r.row.least >= r.row.whole), self.is_cold(node));
         let call =
             self.s.board(node, self.terms.prescription.layout.per_call, cold.then_some(r.category), lull);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out });
-        self.s
-            .tickets
-            .insert((id, no), Ticket { node, call, within_share, category, goal, out, crowded, lull });
+        self.s.tickets.insert(
+            (id, no),
+            Ticket { node, call, within_share, category, goal, out, crowded, lull, silent: false },
+        );
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(r.goal), Due::Look(id, no)));
     }
 
+    /// What a node told of its load, in parts ahead of a new one. One that left its probe unanswered
+    /// comes after all that did answer.
+    fn load(&self, node: &Node) -> f64 {
+        if !self.terms.prescription.load_by_probe {
+            return 0.0;
+        }
+        match node.told.filter(|_| node.probe_out.is_none()) {
+            Some(load) if load.sound => load.queue.unwrap_or(0.0),
+            _ => UNHEARD,
+        }
+    }
+
     fn patience(&self, goal: Tenths) -> Tenths {
         let [low, high] = PATIENCE_BOUNDS.map(|bound| goal.times(bound));
         self.average().times(PATIENCE).clamp(low, high)
@@ -489,7 +541,7 @@
         let worth = usable.iter().filter(|id| all_tried || !tried(id));
         let score = |node: &Node| {
             let joins = node.riding.is_some_and(|(_, parts)| parts < self.terms.prescription.layout.per_call);
-            self.latency(node).0 as f64 * (node.calls.len() + usize::from(!joins)) as f64
+            self.latency(node).0 as f64 * ((node.calls.len() + usize::from(!joins)) as f64 + self.load(node))
         };
         let scored: Vec<(f64, NodeId)> = worth.map(|id| (score(&self.s.nodes[id]), *id)).collect();
         let best = scored.iter().map(|s| s.0).fold(f64::INFINITY, f64::min);
@@ -505,22 +557,38 @@
     /// pushes after a lull are dropped at once, where a dead node would refuse the connection; or a fifth of
     /// them come to nothing on kept connections, and half as many at the most on fresh ones. Then idle
     /// connections are closed before a push. Harm: a handshake each, while other causes look like these.
-    fn line_after_lull(&mut self, id: NodeId) -> Option<(Line, Tenths)> {
+    fn line_after_lull(&mut self, id: NodeId, sure: bool) -> Option<(Line, Tenths)> {
         let (now, node) = (self.s.now, &self.s.nodes[&id]);
         let lull = now - node.heard_at;
         let idle = node.calls.is_empty() && node.heard_at > Tenths::ZERO;
         if !idle || lull < self.shortest_goal().times(PATIENCE_BOUNDS[0]) {
             return node.riding.and(node.line);
         }
-        let [kept, fresh] = self.s.lost_lines.each_ref().map(|g| g.share(now, LONG, 1.0 / START));
         let dropped = self.s.dropped.is_some_and(|(after, at)| lull >= after && now - at < LONG);
-        if !dropped && (kept < 2.0 * START || fresh > kept / 2.0) {
+        let sure = sure && lull > self.shortest_goal().times(PATIENCE_BOUNDS[1]);
+        if !dropped && !sure && !self.lines_fail() {
             return Some((Line::Kept, lull));
         }
         self.s.effects.push(Effect::CloseIdle { node: id });
         Some((Line::Fresh, lull))
     }
 
+    fn lines_fail(&self) -> bool {
+        let [kept, fresh] = self.s.lost_lines.each_ref().map(|g| g.share(self.s.now, LONG, 1.0 / START));
+        kept >= 2.0 * START && fresh <= kept / 2.0
+    }
+
+    /// A push that went out on a kept connection after a lull is silent; whether so many were that it is lost.
+    fn deaf_line(&mut self, id: PartId, no: PushNo) -> bool {
+        let Some(ticket) = self.s.tickets.get_mut(&(id, no)).filter(|t| t.on_kept_line()) else {
+            return false;
+        };
+        if !std::mem::replace(&mut ticket.silent, true) {
+            self.s.lost_lines[Line::Kept as usize].count(self.s.now, LONG, 1.0, 1.0);
+        }
+        self.lines_fail()
+    }
+
     fn later(&mut self, goal: Tenths, due: Due) {
         self.s.agenda.insert((self.s.now + goal.times(AGAIN).max(Tenths(1)), due));
     }
@@ -538,10 +606,12 @@
             let node = self.s.nodes.get(&push.node);
             let overtaken = node.is_some_and(|n| n.answered > push.sent + average);
             let heard = node.map_or(push.sent, |n| n.heard_at.max(push.sent));
-            let lost = overtaken || now - heard >= self.patience(r.goal);
+            let silent = now - heard >= self.patience(r.goal);
             let here = node.map_or(average, |n| self.latency(n)).max(now - push.sent);
+            let deaf = silent && self.deaf_line(id, no);
+            let lost = overtaken || silent;
             let limits = &r.terms.prescription.limits;
-            let may = limits.copies || overtaken && limits.may_withdraw;
+            let may = limits.copies || (overtaken || deaf) && limits.may_withdraw;
             let again = lost && may && r.parts[at].out() == 1 && self.may_push_again(&r, at, true);
             let elsewhere = self
                 .choose(&r.terms.prescription.layout, r.category, &r.parts[at])
@@ -626,7 +696,8 @@
         if let Some((line, lull)) = ticket.lull.filter(|_| fate != Fate::Void) {
             let silent = self.s.nodes.get(&ticket.node).is_none_or(|n| now - outcome.took >= n.heard_at);
             let lost = blame || outcome.end == PushEnd::Withdrawn && silent && outcome.took > average;
-            self.s.lost_lines[line as usize].count(now, LONG, f64::from(u8::from(lost)), 1.0);
+            let [lost, told] = [lost, ticket.silent].map(|is| f64::from(u8::from(is)));
+            self.s.lost_lines[line as usize].count(now, LONG, lost - told, 1.0 - told);
             if cut_line && outcome.took <= self.terms.prescription.period.times(2.0) {
                 self.s.note_dropped(lull, LONG);
             }
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -25,6 +25,8 @@
     pub rules: Rules,
     /// The roll of nodes comes only to those who follow it.
     pub roll_on_request: bool,
+    /// Nodes may be probed, and tell their load only then.
+    pub load_by_probe: bool,
     /// What payoff that ended unserved after its goal time costs.
     pub late_scrap_price: f64,
 }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -5,7 +5,7 @@
 use crate::ids::{
     CallNo, CallerNo, CategoryNo, CellNo, GroupNo, NodeId, PartId, PushNo, RetrievalId, ShardNo, ZoneNo,
 };
-use crate::inputs::{NewPart, NewRetrieval, Roll, RollEntry, RollKind, Standing};
+use crate::inputs::{NewPart, NewRetrieval, Probed, Roll, RollEntry, RollKind, Standing, Told};
 use crate::prescription::{EffectKind, FurtherBudget, Prescription};
 use crate::time::Tenths;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -51,6 +51,8 @@
     pub crowded: bool,
     /// It opened a call after a lull: on the connection kept, or on a fresh one.
     pub lull: Option<(Line, Tenths)>,
+    /// It was counted as lost while it is still out.
+    pub silent: bool,
 }
 
 impl Ticket {
@@ -131,6 +133,8 @@
     pub scouting: bool,
     /// Only its least share is sent.
     pub least_only: bool,
+    /// When its holders were asked for their load.
+    pub probed: Option<Tenths>,
     pub parts: Vec<Part>,
 }
 
@@ -158,6 +162,10 @@
     pub failures: u32,
     pub failed_at: Tenths,
     pub calls: BTreeMap<CallNo, Call>,
+    /// A probe that is not answered yet was sent then.
+    pub probe_out: Option<Tenths>,
+    /// What it told of itself, and when; none where it let a probe go unanswered.
+    pub told: Option<Load>,
     /// The call of this turn, and how many parts it carries.
     pub riding: Option<(CallNo, u32)>,
     pub line: Option<(Line, Tenths)>,
@@ -165,6 +173,15 @@
     pub cold_pushes: VecDeque<(Tenths, CategoryNo)>,
 }
 
+/// A load report, as far as a node tells these.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Load {
+    pub at: Tenths,
+    pub sound: bool,
+    /// Parts that wait.
+    pub queue: Option<f64>,
+}
+
 /// How long a category's parts take: the least that their smoothed latency ever was.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
@@ -325,6 +342,8 @@
     pub fresh: BTreeSet<RetrievalId>,
     /// Retrievals that wait for room.
     pub waiting: BTreeSet<RetrievalId>,
+    /// Retrievals that wait for word of their holders' load.
+    pub probing: BTreeSet<RetrievalId>,
     /// Parts to be sent this turn, in order.
     pub wanted: Vec<PartId>,
     pub next_call: CallNo,
@@ -384,6 +403,7 @@
             fallen: BTreeSet::new(),
             scouting: false,
             least_only: new.least_only,
+            probed: None,
             parts: Vec::new(),
         }
     }
@@ -480,6 +500,7 @@
     pub fn put(&mut self, r: Retrieval) {
         if r.stage != Stage::Taken {
             self.waiting.remove(&r.id);
+            self.probing.remove(&r.id);
         }
         self.retrievals.insert(r.id, r);
     }
@@ -502,6 +523,7 @@
         r.parts.iter().for_each(|part| _ = self.parts.remove(&part.id));
         self.groups.remove(&r.group);
         self.waiting.remove(&r.id);
+        self.probing.remove(&r.id);
         self.agenda.remove(&(r.goal_at, Due::Goal(r.id)));
         self.agenda.remove(&(r.cut_off_at, Due::CutOff(r.id)));
     }
@@ -531,6 +553,24 @@
         }
     }
 
+    pub fn probe(&mut self, id: NodeId) {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.probe_out = Some(self.now);
+            self.effects.push(Effect::Probe { node: id });
+        }
+    }
+
+    /// Keeps what a probe told; who waits for word looks again.
+    pub fn note_probed(&mut self, probed: &Probed) {
+        let sound = |told: &&(Told, f64)| told.1.is_finite() && told.1 >= 0.0;
+        let number = |told| probed.report.iter().filter(sound).find(|t| t.0 == told).map(|t| t.1);
+        let load = Load { at: self.now, sound: probed.sound, queue: number(Told::Queue) };
+        if let Some(node) = self.nodes.get_mut(&probed.node) {
+            (node.probe_out, node.told) = (None, Some(load));
+        }
+        self.fresh.extend(&self.probing);
+    }
+
     pub fn bind(&mut self, part: &PartId) {
         let Some((id, at)) = self.parts.get(part) else { return };
         if let Some(r) = self.retrievals.get_mut(id) {
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -111,6 +111,7 @@
                 p.rules.fall_window = span(&words, "window", 1000.0);
                 p.rules.ask_within = span(&words, "ask-within", 10_000.0);
                 p.roll_on_request = words.contains(&"roll-on-request");
+                p.load_by_probe = words.contains(&"load-by-probe");
                 p.late_scrap_price = value(&words, "late-scrap", 0.05);
             }
             "budget" => {
@@ -200,6 +201,11 @@
                 self.open.remove(&RetrievalId(id(words[1])));
                 Input::CallerLeft(RetrievalId(id(words[1])))
             }
+            "told" => {
+                let queue = words[2].parse().map(|queue| (Told::Queue, queue));
+                let (node, report) = (NodeId(id(words[1])), queue.into_iter().collect());
+                Input::Probed(Probed { node, sound: words[2] != "none", report })
+            }
             "flowing" => Input::Flowing(PartId(id(words[1]))),
             "end" => return self.end(words[1], words[2]),
             other => panic!("`{other}` is not a word of the notation"),
@@ -311,6 +317,7 @@
                 self.wakes.insert(self.now + after);
                 "wake".to_owned()
             }
+            Effect::Probe { node } => format!("probe {}", name(node.0)),
             Effect::CloseIdle { node } => format!("close {}", name(node.0)),
             Effect::FollowRoll => "follow".to_owned(),
             Effect::Say(line) => format!("say {line}"),
--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -1,15 +1,15 @@
 //! The desk: owns the module, its clock and its wake-ups, and knows by which ids it calls things.
 
 use crate::edition::Edition;
-use crate::frame::CalledPart;
+use crate::frame::{CalledPart, read_report};
 use crate::limits::{Limits, span};
 use crate::listing::Listing;
 use crate::nodes::{Ended, Nodes, PushId, Sending};
 use admission::{Allowance, Door, Gated};
 use barleydrum::{
     Broker, CallerNo, CategoryNo, CellNo, Effect, GroupNo, Input, NewPart, NewRetrieval, NodeId, PartId,
-    Prescription, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo, Standing,
-    Tenths, ZoneNo,
+    Prescription, Probed, PushEnd, PushNo, PushOutcome, RetrievalId, Roll, RollEntry, RollKind, ShardNo,
+    Standing, Tenths, ZoneNo,
 };
 use bytes::Bytes;
 use intake::Intake;
@@ -427,7 +427,10 @@
                 let far = Instant::now() + Duration::from_secs(3600);
                 tokio::select! {
                     () = self.bell.notified() => {}
-                    () = self.nodes.bell.notified() => self.fetch_ended(),
+                    () = self.nodes.bell.notified() => {
+                        self.fetch_ended();
+                        self.fetch_told();
+                    }
                     () = sleep_until(due.unwrap_or(far)) => {}
                 }
                 continue;
@@ -499,6 +502,7 @@
             }
         }
         self.fetch_ended();
+        self.fetch_told();
         let mut heard = self.heard.take();
         if self.wake_at.get().is_some_and(|at| at <= now) {
             self.wake_at.set(None);
@@ -540,6 +544,7 @@
                     self.tell(retrieval, |_| Verdict::Decline { stay_away });
                 }
                 Effect::Scrap { retrieval } => self.tell(retrieval, |_| Verdict::Scrap),
+                Effect::Probe { node } => self.nodes.probe(node),
                 Effect::CloseIdle { node } => self.nodes.close_idle(node),
                 Effect::Wake { after } => {
                     let at = now + after;
@@ -582,6 +587,15 @@
         Some(Sending { push, part: CalledPart { id: wire_id, shard, wait_ms, text } })
     }
 
+    /// What probes brought, in the module's terms.
+    fn fetch_told(&self) {
+        for (node, words) in self.nodes.fetch_told() {
+            let sound = words.is_some();
+            let report = words.map(|words| read_report(&words)).unwrap_or_default();
+            self.hear(Input::Probed(Probed { node, sound, report }));
+        }
+    }
+
     fn never_sent(&self, node: NodeId, (part, push): PushId) {
         self.pushes.borrow_mut().strike((part, push));
         let (end, took) = (PushEnd::NotSent, Tenths::ZERO);
--- a/crates/broker/src/frame.rs
+++ b/crates/broker/src/frame.rs
@@ -1,11 +1,13 @@
 //! Frames between the broker and a node: a length, a letter, the rest.
 
-use barleydrum::PushEnd;
+use barleydrum::{PushEnd, Told};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
 
 const PREFIX: usize = 4;
+/// The most values of a load report that are read.
+const REPORTED: usize = 16;
 
 /// One part as a call carries it.
 #[derive(Clone, Debug)]
@@ -20,6 +22,8 @@
 pub enum ToNode {
     Call(Vec<CalledPart>),
     GiveUp(Bytes),
+    /// A probe for load.
+    Probe,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -31,7 +35,9 @@
     },
     /// The node's reason for closing the connection.
     Unusable(String),
-    /// A probe's answer; none was asked for.
+    /// A load probe's answer: the report, or none where the node failed to give one.
+    Told(Option<Bytes>),
+    /// An answer to a plain probe; none was asked for.
     Aside,
 }
 
@@ -68,6 +74,7 @@
                     to.put_slice(&part.text);
                 }
             }
+            ToNode::Probe => to.put_u8(b'4'),
             ToNode::GiveUp(id) => {
                 to.put_u8(b'2');
                 to.put_slice(&id);
@@ -97,7 +104,8 @@
         from.advance(PREFIX);
         let mut rest = from.split_to(length).freeze();
         match rest.get_u8() {
-            b'3' | b'4' => Ok(Some(FromNode::Aside)),
+            b'3' => Ok(Some(FromNode::Aside)),
+            b'4' => Ok(Some(FromNode::Told((&rest[..] != b"E").then_some(rest)))),
             b'5' => ended(rest).map(Some).ok_or(BadFrame::End),
             b'X' => Ok(Some(FromNode::Unusable(String::from_utf8_lossy(&rest).into_owned()))),
             other => Err(BadFrame::Letter(other)),
@@ -110,6 +118,13 @@
     std::str::from_utf8(bytes).is_ok_and(|text| !text.contains(char::is_control))
 }
 
+/// Reads a load report, `name=value` with commas between. What can't be read, or is no number, is passed over.
+pub fn read_report(words: &[u8]) -> Vec<(Told, f64)> {
+    let words = std::str::from_utf8(words).unwrap_or_default();
+    let values = words.split(',').take(REPORTED).filter_map(|field| field.split_once('='));
+    values.filter_map(|(name, value)| Some((intake::told(name), value.parse().ok()?))).collect()
+}
+
 /// Reads `ID END SCORE REPORT`, a line feed, and the value. No decision reads the report: one that can't be
 /// read does not spoil the value that it came with.
 fn ended(mut rest: Bytes) -> Option<FromNode> {
@@ -150,8 +165,11 @@
             let (id, value) = (Bytes::from_static(id.as_bytes()), Bytes::from_static(value.as_bytes()));
             FromNode::Ended { id, end, value }
         };
-        let told =
-            [ended("q.3", PushEnd::Finished, "v\n5"), ended("q.4", PushEnd::Full, ""), FromNode::Aside];
+        let told = [
+            ended("q.3", PushEnd::Finished, "v\n5"),
+            ended("q.4", PushEnd::Full, ""),
+            FromNode::Told(Some(Bytes::from_static(b"-"))),
+        ];
         assert_eq!(read, told);
     }
 
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -50,6 +50,7 @@
 enum Queued {
     Call(Vec<CalledPart>),
     GiveUp(Bytes),
+    Probe,
 }
 
 /// One connection to a node, from the first try to connect on.
@@ -63,6 +64,8 @@
     held: RefCell<Option<(PushId, PushEnd, Bytes)>>,
     /// What was given up on it and may still be answered, the newest last.
     given_up: RefCell<VecDeque<Bytes>>,
+    /// Load probes that it has not answered.
+    probes: Cell<usize>,
     /// So much was given up that not all of it is remembered.
     forgot: Cell<bool>,
     ring: Notify,
@@ -78,6 +81,8 @@
     addresses: RefCell<HashMap<NodeId, SocketAddr>>,
     lines: RefCell<HashMap<NodeId, Vec<Rc<Line>>>>,
     pushes: RefCell<HashMap<PushId, (Rc<Line>, Bytes)>>,
+    /// What probes brought, and nobody has fetched yet; none: the probe failed.
+    told: RefCell<Vec<(NodeId, Option<Bytes>)>>,
     /// Ends that nobody has fetched yet.
     ended: RefCell<Vec<Ended>>,
     /// Rung when there are some.
@@ -91,6 +96,7 @@
             addresses: RefCell::default(),
             lines: RefCell::default(),
             pushes: RefCell::default(),
+            told: RefCell::default(),
             ended: RefCell::default(),
             bell: Notify::new(),
         })
@@ -158,6 +164,24 @@
         line.ring.notify_one();
     }
 
+    /// Asks a node for its load. Each probe has one end: what the node told, or none when its connection ends.
+    pub fn probe(self: &Rc<Self>, node: NodeId) {
+        let Some(line) = self.line_for(node, 0) else { return self.tell(node, None) };
+        line.probes.set(line.probes.get() + 1);
+        line.queue.borrow_mut().push_back(Queued::Probe);
+        line.ring.notify_one();
+    }
+
+    /// What probes brought since the last time.
+    pub fn fetch_told(&self) -> Vec<(NodeId, Option<Bytes>)> {
+        self.told.take()
+    }
+
+    fn tell(&self, node: NodeId, words: Option<Bytes>) {
+        self.told.borrow_mut().push((node, words));
+        self.bell.notify_one();
+    }
+
     /// Gives a push up. One that was never written is known not to have run, whatever `end` says.
     pub fn give_up(&self, push: PushId, end: PushEnd) {
         let Some((line, id)) = self.pushes.borrow().get(&push).cloned() else { return };
@@ -246,6 +270,7 @@
             queue: RefCell::default(),
             held: RefCell::default(),
             given_up: RefCell::default(),
+            probes: Cell::default(),
             forgot: Cell::default(),
             ring: Notify::new(),
             idle_since: Cell::new(Instant::now()),
@@ -281,6 +306,7 @@
             lines.retain(|other| !Rc::ptr_eq(other, &line));
             !lines.is_empty()
         });
+        (0..line.probes.take()).for_each(|_| self.tell(line.node, None));
         let mut lost: Vec<Out> = line.out.take().into_values().collect();
         lost.sort_by_key(|out| out.push);
         for out in lost {
@@ -342,7 +368,11 @@
                         }
                     }
                 }
-                Some(Ok(FromNode::Aside)) => {}
+                Some(Ok(FromNode::Told(words))) if line.probes.get() > 0 => {
+                    line.probes.set(line.probes.get() - 1);
+                    self.tell(line.node, words);
+                }
+                Some(Ok(FromNode::Told(_) | FromNode::Aside)) => {}
                 Some(Ok(FromNode::Unusable(words))) => {
                     warn!(node = %line.address, "the node closes: {words}");
                     return true;
@@ -387,6 +417,7 @@
                     (ToNode::Call(parts), ids)
                 }
                 Some(Queued::GiveUp(id)) => (ToNode::GiveUp(id), Vec::new()),
+                Some(Queued::Probe) => (ToNode::Probe, Vec::new()),
                 None if line.out.borrow().is_empty() => {
                     let until = line.idle_since.get() + self.limits.node_idle;
                     if line.closing.get() || Instant::now() >= until {
@@ -420,7 +451,7 @@
 
 impl Line {
     fn is_idle(&self) -> bool {
-        self.out.borrow().is_empty() && self.queue.borrow().is_empty()
+        self.out.borrow().is_empty() && self.probes.get() == 0 && self.queue.borrow().is_empty()
     }
 
     /// Remembers up to `most` of what was given up.
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -769,3 +769,85 @@
         }
     });
 }
+
+/// Load told by probe only, with time enough for a busy machine to tell it.
+fn load_by_probe(config: &mut Value) {
+    config["settings"]["Stats"] = json!({"Via": "pull", "Fields": ["qps", "queue", "util"]});
+    config["settings"]["Limits"]["Probes"] = json!(true);
+    for category in config["settings"]["Services"].as_array_mut().unwrap() {
+        (category["OnTimeMs"], category["DeadlineMs"]) = (json!(80_000.0), json!(90_000.0));
+    }
+}
+
+/// Both holders are asked first; the part goes where least waits. What can't be read is no report.
+#[rstest]
+#[case("qps=1.5,queue=7,util=0.5", "queue=2", 1)]
+#[case("queue=0", "qps=9,queue=4", 0)]
+#[case("E", "queue=4", 1)]
+#[case("queue=3", "E", 0)]
+#[case("queue=1", "queue=many", 1)]
+#[case("queue=-5", "queue=NaN,queue", 0)]
+fn sends_a_part_where_least_waits(#[case] first: &str, #[case] second: &str, #[case] to: usize) {
+    play(async {
+        let mut stage = Stage::with(2, load_by_probe, |_| ()).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        for _ in 0..2 {
+            let (node, line, heard) = stage.next().await;
+            assert_eq!(heard, Heard::Probe, "nothing goes out before the holders were asked");
+            stage.nodes[node].tell(line, [first, second][node]).await;
+        }
+        let (node, line, _) = stage.call().await;
+        // Two that tell the same, or nothing that can be read, are even: either may have it.
+        assert!(node == to || first.starts_with("queue=-5"), "{node}");
+        stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
+    });
+}
+
+/// A holder that takes the probe and says nothing, or whose connection ends, holds nothing up for long.
+#[rstest]
+#[case(false)]
+#[case(true)]
+fn a_probe_that_nobody_answers_holds_nothing_up(#[case] closes: bool) {
+    play(async {
+        let mut stage = Stage::with(2, load_by_probe, |_| ()).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let asked = Instant::now();
+        for _ in 0..2 {
+            let (node, line, heard) = stage.next().await;
+            assert_eq!(heard, Heard::Probe);
+            match node {
+                0 if closes => stage.nodes[0].close(line),
+                0 => {}
+                _ => stage.nodes[1].tell(line, "queue=20").await,
+            }
+        }
+        let (node, line, parts) = loop {
+            if let (node, line, Heard::Call(parts)) = stage.next().await {
+                break (node, line, parts);
+            }
+        };
+        assert_eq!((node, parts.len()), (1, 1), "the one that told of its load, though much waits there");
+        assert!(asked.elapsed() < Duration::from_secs(20), "a fiftieth of the goal time is waited for");
+        stage.nodes[1].end(line, "a.3", 'S', "v").await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
+    });
+}
+
+/// Where reports come with answers, or probes are not allowed, nobody is probed: what was so before stays so.
+#[rstest]
+#[case("piggyback", true)]
+#[case("pull", false)]
+fn nobody_is_probed_where_that_tells_nothing(#[case] via: &str, #[case] allowed: bool) {
+    play(async {
+        let settings = |config: &mut Value| {
+            config["settings"]["Stats"] = json!({"Via": via, "Fields": ["queue"]});
+            config["settings"]["Limits"]["Probes"] = json!(allowed);
+        };
+        let mut stage = Stage::with(2, settings, |_| ()).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let (node, line, _) = stage.call().await;
+        stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
+    });
+}
--- a/crates/intake/src/fields.rs
+++ b/crates/intake/src/fields.rs
@@ -93,7 +93,7 @@
     Field("Limits.CpuUsPerRequest",       Any,                          false,  Aside),
     Field("Limits.CpuUsPerS",             Any,                          false,  Aside),
     Field("Limits.Peers",                 Any,                          false,  Aside),
-    Field("Limits.Probes",                Any,                          false,  Aside),
+    Field("Limits.Probes",                Flag,                         false,  New),
     Field("Rules.ColdFrom",               Share,                        false,  Live),
     Field("Rules.WarmUpMs",               Ms(0.0, DAY),                 false,  Live),
     Field("Rules.OverloadFactor",         Form::Number(0.0, 1000.0),    false,  Live),
@@ -112,7 +112,8 @@
     Field("HostTypes",                    Any,                          false,  Aside),
     Field("ScoringMix",                   Any,                          false,  Aside),
     Field("Stages",                       Any,                          false,  Aside),
-    Field("Stats",                        Any,                          false,  Aside),
+    Field("Stats.Via",                    OneOf(&["piggyback", "pull", "silent"]), false, New),
+    Field("Stats.Fields[]",               Text,                         false,  New),
     Field("WeightKind",                   Any,                          false,  Aside),
     Field("WorthBy",                      Any,                          false,  Aside),
 ];
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -25,7 +25,7 @@
 pub use revise::{Change, Revised, compare, revise};
 
 use barleydrum::{
-    Caller, Category, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules, Tenths, ZoneNo,
+    Caller, Category, EffectKind, FurtherBudget, Layout, Limits, Prescription, Rules, Tenths, Told, ZoneNo,
 };
 use text::Text;
 
@@ -36,6 +36,8 @@
     pub names: Catalogue,
     pub zones: Vec<String>,
     pub lines: Lines,
+    /// What the values of a load report are, in their order.
+    pub report: Vec<Told>,
 }
 
 /// What holds for a connection to a node; none where the text is silent.
@@ -134,9 +136,19 @@
             }),
         },
         roll_on_request: text.registry_mode == "subscribe",
+        load_by_probe: text.limits.probes && text.stats.via == "pull",
         late_scrap_price: text.prices.late_fail,
     };
-    Ok(Intake { prescription, names, zones: text.areas.clone(), lines })
+    let report = text.stats.fields.iter().map(|name| told(name)).collect();
+    Ok(Intake { prescription, names, zones: text.areas.clone(), lines, report })
+}
+
+/// What a value of a load report is, by its name.
+pub fn told(name: &str) -> Told {
+    match name {
+        "queue" => Told::Queue,
+        _ => Told::Aside,
+    }
 }
 
 #[cfg(test)]
--- a/crates/intake/src/tests.rs
+++ b/crates/intake/src/tests.rs
@@ -38,7 +38,7 @@
 #[rstest]
 fn reads_what_a_broker_and_its_front_need() {
     let text = with("/Surprise", json!([1])).to_string();
-    let Intake { prescription: read, names, zones, lines } = super::read(text.as_bytes()).unwrap();
+    let Intake { prescription: read, names, zones, lines, report } = super::read(text.as_bytes()).unwrap();
     assert_eq!((read.period, read.limits.most_open, read.roll_on_request), (Tenths(50), 111, false));
     let category = &read.categories[&CategoryNo(0)];
     assert_eq!((category.effect, category.least_share), (EffectKind::Numbered, 0.4));
@@ -48,9 +48,25 @@
         (Some(CategoryNo(0)), Some(1))
     );
     assert_eq!((&zones[0][..], read.callers[&barleydrum::CallerNo(0)].quota_per_s), ("north", 2.5));
+    assert_eq!((report, read.load_by_probe), (vec![barleydrum::Told::Queue], false));
     assert_eq!((lines.idle, lines.connect, lines.parts), (Some(Tenths(150_000)), None, Some(32)));
 }
 
+/// Only where both hold is load told by probe; what was left out before stays as it was.
+#[rstest]
+#[case(json!({"Via": "pull"}), json!(true), true)]
+#[case(json!({"Via": "pull"}), json!(false), false)]
+#[case(json!({"Via": "pull"}), Value::Null, false)]
+#[case(json!({"Via": "piggyback"}), json!(true), false)]
+#[case(Value::Null, json!(true), false)]
+fn load_is_told_by_probe(#[case] stats: Value, #[case] probes: Value, #[case] is: bool) {
+    let mut value = with("/Stats", stats);
+    value["Limits"]["Probes"] = probes;
+    value["Limits"].as_object_mut().unwrap().retain(|_, value| !value.is_null());
+    let read = super::read(value.to_string().as_bytes()).unwrap();
+    assert_eq!(read.prescription.load_by_probe, is);
+}
+
 #[rstest]
 fn finds_nothing_wrong_with_a_sound_one() {
     assert_eq!(check(&document(&sound())), []);
@@ -62,6 +78,9 @@
 #[case("/Domain/MinShare/0", json!("much"), "`Domain.MinShare[0]` is \"much\": a share from 0 to 1 is allowed")]
 #[case("/Domain/CompleteFrom", json!([0.3, 1]), "`Domain.MinShare[0]` is 0.4: at most `CompleteFrom[0]`, 0.3, is allowed")]
 #[case("/Domain/CompleteFrom", json!([1.0]), "`Domain.CompleteFrom` is a list of 1: one for each of `Services`, 2, is allowed")]
+#[case("/Stats/Via", json!("push"), "`Stats.Via` is \"push\": `piggyback` or `pull` or `silent` is allowed")]
+#[case("/Stats/Fields", json!("queue"), "`Stats.Fields` is \"queue\": a list is allowed")]
+#[case("/Limits/Probes", json!("yes"), "`Limits.Probes` is \"yes\": true or false is allowed")]
 #[case("/Domain/Reach", json!(0), "`Domain.Reach` is 0: a whole number from 1 to 65536 is allowed")]
 #[case("/Domain/Reach", json!(5), "`Domain.Reach` is 5: at most `Domain.Cells`, 4, is allowed")]
 #[case("/Domain/Cells", json!(2.5), "`Domain.Cells` is 2.5: a whole number from 1 to 65536 is allowed")]
@@ -176,7 +195,7 @@
     assert_eq!(compare(&document(&sound()), &document(&new)), []);
     new["Tenants"][0]["QuotaRps"] = json!(7);
     new["Limits"]["MaxOpen"] = json!(50);
-    new["Stats"] = json!({});
+    new["Stages"] = json!(["other"]);
     let told: Vec<_> =
         compare(&document(&sound()), &document(&new)).into_iter().map(|c| (c.field, c.applies)).collect();
     assert_eq!(
--- a/crates/intake/src/text.rs
+++ b/crates/intake/src/text.rs
@@ -23,6 +23,8 @@
     pub registry_mode: String,
     #[serde(default)]
     pub prices: Prices,
+    #[serde(default)]
+    pub stats: Stats,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -75,6 +77,8 @@
     #[serde(default)]
     pub may_cancel: bool,
     #[serde(default)]
+    pub probes: bool,
+    #[serde(default)]
     pub retry_after: bool,
     #[serde(default)]
     pub max_retry_after_ms: f64,
@@ -101,6 +105,15 @@
     pub budget_window_ms: Option<f64>,
 }
 
+#[derive(Clone, Debug, Deserialize, Default)]
+#[serde(rename_all = "PascalCase")]
+pub struct Stats {
+    #[serde(default)]
+    pub fields: Vec<String>,
+    #[serde(default)]
+    pub via: String,
+}
+
 #[derive(Clone, Debug, Deserialize, Default)]
 #[serde(rename_all = "PascalCase")]
 pub struct Prices {
--- a/crates/lab/src/loopback.rs
+++ b/crates/lab/src/loopback.rs
@@ -396,7 +396,7 @@
                             self.hosts[host].give_up(self.now, no);
                         }
                     }
-                    Heard::Closed | Heard::Other => {}
+                    Heard::Closed | Heard::Probe | Heard::Other => {}
                 }
             }
         }
@@ -595,7 +595,7 @@
     match heard {
         Heard::Call(parts) => parts.iter().filter_map(|part| Some(numbers(&part.id)?.0)).min(),
         Heard::GiveUp(id) => numbers(id).map(|(no, _)| no),
-        Heard::Other | Heard::Closed => None,
+        Heard::Other | Heard::Probe | Heard::Closed => None,
     }
 }
 
--- a/crates/lab/src/rehearse.rs
+++ b/crates/lab/src/rehearse.rs
@@ -701,7 +701,8 @@
                 let seat = &mut self.seats[broker];
                 seat.wake_at = Some(seat.wake_at.map_or(at, |sooner| sooner.min(at)));
             }
-            Effect::CloseIdle { .. } | Effect::FollowRoll | Effect::Say(_) => {}
+            // No hosts of a rehearsal tell their load by probe, and no broker of one is told that they do.
+            Effect::Probe { .. } | Effect::CloseIdle { .. } | Effect::FollowRoll | Effect::Say(_) => {}
         }
     }
 
--- a/crates/ledger-host/src/script.rs
+++ b/crates/ledger-host/src/script.rs
@@ -29,6 +29,8 @@
 pub enum Heard {
     Call(Vec<Part>),
     GiveUp(String),
+    /// A probe for load.
+    Probe,
     /// A frame that is none of these; it can't be used.
     Other,
     Closed,
@@ -126,6 +128,11 @@
         self.write(line, &framed(rest.as_bytes(), 0)).await;
     }
 
+    /// Answers a probe for load: a report, `-` for none, `E` for an error.
+    pub async fn tell(&self, line: usize, words: &str) {
+        self.write(line, &framed(format!("4{words}").as_bytes(), 0)).await;
+    }
+
     pub fn close(&self, line: usize) {
         self.lines.borrow_mut()[line] = None;
     }
@@ -159,6 +166,7 @@
     let text = |bytes: &[u8]| String::from_utf8(bytes.to_vec()).ok();
     Some(match frame.split_first() {
         Some((b'2', id)) => text(id).map_or(Heard::Other, Heard::GiveUp),
+        Some((b'4', [])) => Heard::Probe,
         Some((b'1', parts)) => parts_of(parts).map_or(Heard::Other, Heard::Call),
         _ => Heard::Other,
     })
--- a/crates/wirehost/src/host.rs
+++ b/crates/wirehost/src/host.rs
@@ -1,7 +1,7 @@
 //! Hosts the brokers of one process: hands each what it heard, collects what it does.
 
 use crate::wire::{Batch, Event, Reply};
-use barleydrum::{Broker, Input, Roll, RollEntry, RollKind, Tenths};
+use barleydrum::{Broker, Input, Probed, Roll, RollEntry, RollKind, Tenths, Told};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -14,6 +14,8 @@
 #[derive(Default)]
 pub struct Host {
     seats: BTreeMap<u16, Seat>,
+    /// What the values of a load report are, for each broker.
+    reports: BTreeMap<u16, Vec<Told>>,
     lists: BTreeMap<u16, Arc<[RollEntry]>>,
 }
 
@@ -24,7 +26,9 @@
         for event in batch.events {
             match event {
                 Event::Start { broker, seed, settings } => {
-                    self.seats.insert(broker, start(&settings, seed, batch.now));
+                    let (seat, report) = start(&settings, seed, batch.now);
+                    self.seats.insert(broker, seat);
+                    self.reports.insert(broker, report);
                     heard.insert(broker, Vec::new());
                 }
                 Event::Stop { broker } => {
@@ -36,6 +40,11 @@
                     let input = self.roll(number, form)?;
                     self.hear(&mut heard, broker, input)?;
                 }
+                Event::Probed { broker, node, sound, report } => {
+                    let fields = self.reports.get(&broker).into_iter().flatten().copied();
+                    let report = fields.zip(report.into_iter().map(f64::from)).collect();
+                    self.hear(&mut heard, broker, Input::Probed(Probed { node, sound, report }))?;
+                }
                 Event::Heard { broker, input } => self.hear(&mut heard, broker, input)?,
             }
         }
@@ -75,10 +84,10 @@
     }
 }
 
-fn start(text: &[u8], seed: u64, now: Tenths) -> Seat {
+fn start(text: &[u8], seed: u64, now: Tenths) -> (Seat, Vec<Told>) {
     match intake::read(text) {
-        Ok(intake) => Seat::Sound(Box::new(Broker::start(intake.prescription, seed, now))),
-        Err(why) => Seat::Broken(why),
+        Ok(intake) => (Seat::Sound(Box::new(Broker::start(intake.prescription, seed, now))), intake.report),
+        Err(why) => (Seat::Broken(why), Vec::new()),
     }
 }
 
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -21,6 +21,7 @@
     Stop { broker: u16 },
     List { number: u16, entries: Vec<RollEntry> },
     Roll { broker: u16, number: u16, form: u8 },
+    Probed { broker: u16, node: NodeId, sound: bool, report: Vec<f32> },
     Heard { broker: u16, input: Input },
 }
 
@@ -78,10 +79,8 @@
         Ok(head)
     }
 
-    /// A load report: no decision reads it.
-    fn report(&mut self) -> Result<(), BadFrame> {
-        let values = usize::from(self.u8()?);
-        self.bytes(values * 4).map(|_| ())
+    fn report(&mut self) -> Result<Vec<f32>, BadFrame> {
+        (0..self.u8()?).map(|_| self.f32()).collect()
     }
 
     fn entry(&mut self) -> Result<RollEntry, BadFrame> {
@@ -138,10 +137,8 @@
                 Input::Woken
             }
             23 => {
-                let _node = self.node()?;
-                let (_state, _took) = (self.u16()?, self.span()?);
-                self.report()?;
-                Input::Aside
+                let (node, sound, _took) = (self.node()?, self.u16()? == 1, self.span()?);
+                return Ok(Event::Probed { broker, node, sound, report: self.report()? });
             }
             24 => {
                 let _sender = self.u32()?;
@@ -265,6 +262,10 @@
                 self.record(86, broker);
                 self.node(node);
             }
+            Effect::Probe { node } => {
+                self.record(85, broker);
+                self.node(node);
+            }
             Effect::Wake { after } => {
                 self.record(84, broker);
                 self.records.put_u64_le(0);
