Told queues count against the goal time: what no holder can bring is declined at once

Room (no_room) and reach (hopeless) go by a broker's own parts out; at size a broker has one retrieval out at a time, "with nothing out one is always taken", and an idle holder is never out of reach. Seen in a log of what failed: one to five parts of 192 still out at the goal time, at holders that had told of a queue.

Change: a holder's wait is its smoothed latency and the time that its told queue takes at its told rate (Node::queue); a told queue ends "idle"; a retrieval whose least share no holder can bring is declined, with a time to come back, also when nothing of this broker's is out, where word of holders was asked for.

--- a/crates/barleydrum/src/inputs.rs
+++ b/crates/barleydrum/src/inputs.rs
@@ -118,6 +118,8 @@
 pub enum Told {
     /// Parts that wait.
     Queue,
+    /// Parts served a second.
+    Rate,
     /// One that no decision reads.
     Aside,
 }
--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -297,8 +297,7 @@
     /// Word of a holder may still come in time to choose by it.
     fn awaits_word(&mut self, r: &Retrieval) -> bool {
         let asked = r.probed.filter(|at| self.s.now - *at < r.row.goal.times(WORD));
-        let silent = |id| self.s.nodes[&id].probe_out.is_some();
-        let layout = &r.terms.prescription.layout;
+        let (layout, silent) = (&r.terms.prescription.layout, |id| self.s.nodes[&id].probe_out.is_some());
         asked.is_some() && r.parts.iter().any(|part| self.holders(layout, part).any(silent))
     }
 
@@ -311,7 +310,8 @@
         let (payoff, least) = (r.row.payoff, r.row.least);
         let pays = payoff * least / need.max(1) as f64;
         self.s.note_pays(r.category, [pays, payoff / r.parts.len().max(1) as f64], NEWEST);
-        out > 0 && ((out + need) as f64 > self.room_for(r, pays) || !self.reaches_least(r, 1.0 - lost))
+        let far = !self.reaches_least(r, 1.0 - lost);
+        out > 0 && ((out + need) as f64 > self.room_for(r, pays) || far) || far && r.probed.is_some()
     }
 
     /// Guards against bursts that are over sooner than they matter: a line that would fill the room
@@ -398,12 +398,12 @@
     /// Whether no holder may have a part now, or the best can't bring it in time. A sound idle one can: a
     /// slow pair of holders is used for what it can do, rather than all that touches it turned away.
     fn hopeless(&self, r: &Retrieval, part: &Part) -> bool {
-        let idle = |n: &Node| n.calls.is_empty() && n.failures == 0;
+        let idle = |n: &Node| n.calls.is_empty() && n.failures == 0 && n.queue() == Tenths::ZERO;
         let nodes = self
             .holders(&r.terms.prescription.layout, part)
             .filter(|id| self.has_room(*id, r.category))
             .map(|id| &self.s.nodes[&id]);
-        let wait = nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) }).min();
+        let wait = nodes.map(|n| if idle(n) { Tenths::ZERO } else { self.latency(n) + n.queue() }).min();
         wait.is_none_or(|wait| self.s.now + wait.times(SPREAD) > r.goal_at)
     }
 
@@ -499,28 +499,23 @@
         let (id, within_share, category, out) = (part.id, r.within_share, r.category, self.s.out_at_turn);
         let crowded = out >= self.s.room * CROWDED;
         self.s.further.extend(further.then_some((now, id, no)));
-        let (lull, cold) = (self.line_after_lull(node, r.row.least >= r.row.whole), self.is_cold(node));
-        let call =
-            self.s.board(node, self.terms.prescription.layout.per_call, cold.then_some(r.category), lull);
+        let lull = self.line_after_lull(node, r.row.least >= r.row.whole);
+        let (cold, per_call) = (self.is_cold(node), self.terms.prescription.layout.per_call);
+        let call = self.s.board(node, per_call, cold.then_some(category), lull);
         part.stage = PartStage::Out;
         part.pushes.push(Push { node, sent: now, fate: Fate::Out });
-        self.s.tickets.insert(
-            (id, no),
-            Ticket { node, call, within_share, category, goal, out, crowded, lull, silent: false },
-        );
+        let ticket = Ticket { node, call, within_share, category, goal, out, crowded, lull, silent: false };
+        self.s.tickets.insert((id, no), ticket);
         let life = (r.goal_at + late_life).min(r.cut_off_at) - now;
         self.s.effects.push(Effect::Push { part: id, node, time_out: life.max(Tenths(1)) });
         self.s.agenda.insert((now + self.patience(r.goal), Due::Look(id, no)));
     }
 
-    /// What a node told of its load, in parts ahead of a new one. One that left its probe unanswered
-    /// comes after all that did answer.
+    /// What a node told to wait there; one that left its probe unanswered comes after all that did answer.
     fn load(&self, node: &Node) -> f64 {
-        if !self.terms.prescription.load_by_probe {
-            return 0.0;
-        }
-        match node.told.filter(|_| node.probe_out.is_none()) {
-            Some(load) if load.sound => load.queue.unwrap_or(0.0),
+        match (node.probe_out, node.told) {
+            (None, None) => 0.0,
+            (None, Some(load)) if load.sound => load.queue.unwrap_or(0.0),
             _ => UNHEARD,
         }
     }
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -180,6 +180,8 @@
     pub sound: bool,
     /// Parts that wait.
     pub queue: Option<f64>,
+    /// Parts served a second.
+    pub rate: Option<f64>,
 }
 
 /// How long a category's parts take: the least that their smoothed latency ever was.
@@ -427,6 +429,13 @@
 }
 
 impl Node {
+    /// How long what it told to wait there will take, at the rate that it told.
+    pub fn queue(&self) -> Tenths {
+        let told = self.told.filter(|load| load.sound);
+        let seconds = told.and_then(|load| Some(load.queue? / load.rate?.max(1.0)));
+        Tenths::from_ms(seconds.unwrap_or(0.0) * 1000.0)
+    }
+
     /// A part's push has come to its end.
     pub fn leave(&mut self, call: CallNo) {
         if let Some(call) = self.calls.get_mut(&call) {
@@ -564,7 +573,8 @@
     pub fn note_probed(&mut self, probed: &Probed) {
         let sound = |told: &&(Told, f64)| told.1.is_finite() && told.1 >= 0.0;
         let number = |told| probed.report.iter().filter(sound).find(|t| t.0 == told).map(|t| t.1);
-        let load = Load { at: self.now, sound: probed.sound, queue: number(Told::Queue) };
+        let load =
+            Load { at: self.now, sound: probed.sound, queue: number(Told::Queue), rate: number(Told::Rate) };
         if let Some(node) = self.nodes.get_mut(&probed.node) {
             (node.probe_out, node.told) = (None, Some(load));
         }
--- a/crates/barleydrum/tests/scenarios.rs
+++ b/crates/barleydrum/tests/scenarios.rs
@@ -202,8 +202,9 @@
                 Input::CallerLeft(RetrievalId(id(words[1])))
             }
             "told" => {
-                let queue = words[2].parse().map(|queue| (Told::Queue, queue));
-                let (node, report) = (NodeId(id(words[1])), queue.into_iter().collect());
+                let queue = words[2].parse().map(|queue| (Told::Queue, queue)).into_iter();
+                let rate = words.get(3).map(|rate| (Told::Rate, rate.parse().unwrap()));
+                let (node, report) = (NodeId(id(words[1])), queue.chain(rate).collect());
                 Input::Probed(Probed { node, sound: words[2] != "none", report })
             }
             "flowing" => Input::Flowing(PartId(id(words[1]))),
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -147,6 +147,7 @@
 pub fn told(name: &str) -> Told {
     match name {
         "queue" => Told::Queue,
+        "qps" => Told::Rate,
         _ => Told::Aside,
     }
 }
