barleydrum reshape: a broker's file put into another deployment's shape, with a dry run

Need: two deployments laid out another way; operators have files of the old shape, and a value of the old layout that is taken over sends parts to nodes that do not hold them.

--- a/crates/broker/src/command.rs
+++ b/crates/broker/src/command.rs
@@ -6,6 +6,7 @@
 use intake::Document;
 use operator::Fitting;
 use serde_json::{Value, json};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -27,6 +28,8 @@
         barleydrum serve --config config.json --operator deploy/operator.ini\n  \
         barleydrum check config.json\n  \
         barleydrum check --json version-12.json\n  \
+        barleydrum reshape config.json --shape shape.ini --dry-run\n  \
+        barleydrum reshape config.json --shape shape.ini --zone cremona --to new.json\n  \
         barleydrum control status --at 127.0.0.1:18001\n\n\
         Exit codes: 0 done, 1 can't serve, 2 a mistake in the words or in a checked file, 3 no broker answers."
 )]
@@ -55,6 +58,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Make the counterpart of a broker's file for a deployment of another shape; list what could not be
+    /// carried over. Nothing that is there already is written over.
+    Reshape {
+        /// The broker's file as it is, JSON; it stays as it is.
+        old: PathBuf,
+        /// What the new deployment looks like, INI; `deploy/shape.ini` has every key.
+        #[arg(long, value_name = "FILE")]
+        shape: PathBuf,
+        /// The new file. There must be none of that name.
+        #[arg(long, value_name = "FILE", required_unless_present = "dry_run")]
+        to: Option<PathBuf>,
+        /// This broker's zone, by name, where the shape file does not say it.
+        #[arg(long, value_name = "NAME")]
+        zone: Option<String>,
+        /// Write nothing: only tell what would be.
+        #[arg(long)]
+        dry_run: bool,
+        /// One JSON object for scripts.
+        #[arg(long)]
+        json: bool,
+    },
     /// Versions from a control service.
     Control {
         #[command(subcommand)]
@@ -79,6 +103,10 @@
     match Words::try_parse().map(|words| words.command) {
         Ok(Command::Serve { config, operator }) => begin(config, operator.as_deref()),
         Ok(Command::Check { file, json }) => check(&file, json),
+        Ok(Command::Reshape { old, shape, to, zone, dry_run, json }) => {
+            let to = to.filter(|_| !dry_run);
+            reshape_file(&old, &shape, zone.as_deref(), to.as_deref(), json)
+        }
         Ok(Command::Control { command: ControlCommand::Status { at, json } }) => {
             versions::status(at, WITHIN, json)
         }
@@ -96,6 +124,15 @@
         Ok(fitting) => fitting.unwrap_or_default(),
         Err(mistakes) => return tell(operator.unwrap_or(Path::new("")), &mistakes, false),
     };
+    // Guards against a setting that is misspelt or out of range and would be served as if it were not there. The
+    // platform's form, without a command, may hold keys that are not known yet.
+    let told = config.clone().or_else(|| std::env::var("EDGE_CONFIG").ok());
+    if let Some(path) = told.filter(|path| Path::new(path).exists()) {
+        let mistakes = check_document(Path::new(&path));
+        if !mistakes.is_empty() {
+            return tell(Path::new(&path), &mistakes, false);
+        }
+    }
     serve(&Source { config }, fitting)
 }
 
@@ -104,6 +141,44 @@
     operator::read(&text).map_err(|mistakes| mistakes.iter().map(ToString::to_string).collect())
 }
 
+/// Makes the new file, checks that a broker would start from it, and writes it where there is none.
+fn reshape_file(old: &Path, shape: &Path, zone: Option<&str>, to: Option<&Path>, as_json: bool) -> ExitCode {
+    let words = |list: &[reshape::Unfit]| list.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let shaped = std::fs::read_to_string(shape).map_err(|e| vec![e.to_string()]);
+    let read = match shaped.and_then(|text| reshape::Shape::read(&text).map_err(|unfit| words(&unfit))) {
+        Ok(read) => read,
+        Err(mistakes) => return tell(shape, &mistakes, as_json),
+    };
+    let text = std::fs::read(old).map_err(|e| vec![e.to_string()]);
+    let made = match text.and_then(|text| reshape::reshape(&text, &read, zone)) {
+        Ok(made) => made,
+        Err(mistakes) => return tell(old, &mistakes, as_json),
+    };
+    let unset =
+        |name: &str| matches!(name, "EDGE_LISTEN" | "EDGE_DISCOVERY").then(|| "127.0.0.1:0".to_owned());
+    if let Err(why) = crate::Order::read(made.text.as_bytes(), unset) {
+        return tell(old, &[why], as_json);
+    }
+    let written =
+        to.map(|to| std::fs::File::create_new(to).and_then(|mut f| f.write_all(made.text.as_bytes())));
+    if let (Some(to), Some(Err(e))) = (to, &written) {
+        return tell(to, &[e.to_string()], as_json);
+    }
+    if as_json {
+        let left: Vec<_> = made.left.iter().map(|(key, why)| json!({"key": key, "why": why})).collect();
+        println!("{}", json!({"old": old.display().to_string(), "written": written.is_some(), "left": left}));
+        return ExitCode::SUCCESS;
+    }
+    made.left.iter().for_each(|(key, why)| println!("not carried over: `{key}`: {why}"));
+    match to {
+        Some(to) => {
+            println!("{}: written; `barleydrum check` holds it against the rules again", to.display())
+        }
+        None => println!("nothing was written; --to FILE writes the new file"),
+    }
+    ExitCode::SUCCESS
+}
+
 fn check(path: &Path, as_json: bool) -> ExitCode {
     let mistakes = match path.extension().is_some_and(|ending| ending == "ini") {
         true => read_operator(path).err().unwrap_or_default(),
--- a/crates/broker/tests/command.rs
+++ b/crates/broker/tests/command.rs
@@ -127,3 +127,94 @@
     drop(listener);
     assert_eq!(barleydrum(&["control", "status", "--at", &address]).status.code(), Some(3));
 }
+
+fn shape() -> String {
+    let shipped = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/shape.ini");
+    shipped.to_str().unwrap().to_owned()
+}
+
+/// The new file is one that `check` finds sound; the old one stays as it is, and what stays behind is named.
+#[rstest]
+fn reshapes_a_file() {
+    let mut old = config(&settings());
+    old["settings"]["HostTypes"] = json!(["standard"]);
+    old["known"] = json!({"revision": 1, "complete": true, "members": []});
+    let (folder, path) = file("config.json", &old.to_string());
+    let new = folder.path().join("new.json");
+    let to = new.to_str().unwrap();
+    let dry = barleydrum(&["reshape", &path, "--shape", &shape(), "--to", to, "--dry-run"]);
+    let told = String::from_utf8(dry.stdout).unwrap();
+    assert_eq!((dry.status.code(), new.exists()), (Some(0), false), "{told}");
+    for key in ["`HostTypes`", "`known`", "nothing was written"] {
+        assert!(told.contains(key), "{key} not in {told}");
+    }
+    let output =
+        barleydrum(&["reshape", &path, "--shape", &shape(), "--zone", "mantova", "--to", to, "--json"]);
+    let told: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!((&told["written"], told["left"].as_array().unwrap().len()), (&json!(true), 2));
+    assert_eq!(std::fs::read_to_string(&path).unwrap(), old.to_string());
+    assert_eq!(barleydrum(&["check", to]).status.code(), Some(0));
+    let made: Value = serde_json::from_slice(&std::fs::read(&new).unwrap()).unwrap();
+    assert_eq!((&made["settings"]["Zone"], &made["settings"]["Stats"]["Via"]), (&json!(2), &json!("pull")));
+}
+
+/// Nothing is written over, nothing is made of what can't be read or would not be served from.
+#[rstest]
+#[case("old", "exists")]
+#[case("there", "exists")]
+#[case("no old", "No such file")]
+#[case("no shape", "No such file")]
+#[case("not JSON", "can't be read")]
+#[case("misspelt shape", "`cels` is no key of [layout]")]
+#[case("out of range", "`Services[0].OnTimeMs` is -5: 1 to 600000 milliseconds is allowed")]
+fn reshapes_nothing(#[case] what: &str, #[case] words: &str) {
+    let mut old = config(&settings());
+    if what == "out of range" {
+        old["settings"]["Services"][0]["OnTimeMs"] = json!(-5);
+    }
+    let text = if what == "not JSON" { "{".to_owned() } else { old.to_string() };
+    let (folder, mut path) = file("config.json", &text);
+    let mut to = folder.path().join("new.json").to_str().unwrap().to_owned();
+    let mut shape = shape();
+    match what {
+        "old" => to = path.clone(),
+        "there" => std::fs::write(&to, "mine").unwrap(),
+        "no old" => path = "/nowhere/config.json".to_owned(),
+        "no shape" => shape = "/nowhere/shape.ini".to_owned(),
+        "misspelt shape" => {
+            let shipped = std::fs::read_to_string(&shape).unwrap();
+            shape = folder.path().join("shape.ini").to_str().unwrap().to_owned();
+            std::fs::write(&shape, shipped.replace("cells =", "cels =")).unwrap();
+        }
+        _ => {}
+    }
+    let output = barleydrum(&["reshape", &path, "--shape", &shape, "--to", &to]);
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(output.status.code() == Some(2) && told.contains(words), "{told}");
+    if what == "there" {
+        assert_eq!(std::fs::read_to_string(&to).unwrap(), "mine");
+    }
+    if what == "old" {
+        assert_eq!(std::fs::read_to_string(&path).unwrap(), text);
+    }
+}
+
+/// A setting that is unknown, missing or out of range is refused at the start, with its key and what is allowed.
+#[rstest]
+#[case("/Stats", json!({"Via": "push"}), "`Stats.Via` is \"push\": `piggyback` or `pull` or `silent` is allowed")]
+#[case("/Limits/Probes", json!("yes"), "`Limits.Probes` is \"yes\": true or false is allowed")]
+#[case("/Limits/Prbes", json!(true), "`Limits.Prbes` is unknown: `Limits.Probes` is the nearest key")]
+#[case(
+    "/Limits/MaxOpen",
+    Value::Null,
+    "`Limits.MaxOpen` is null: a whole number from 2 to 1000000 is allowed"
+)]
+fn refuses_a_wrong_setting_at_the_start(#[case] pointer: &str, #[case] to: Value, #[case] words: &str) {
+    let mut wrong = settings();
+    let (parent, key) = pointer.rsplit_once('/').unwrap();
+    wrong.pointer_mut(parent).unwrap()[key] = to;
+    let (_folder, path) = file("config.json", &config(&wrong).to_string());
+    let output = barleydrum(&["serve", "--config", &path]);
+    let told = String::from_utf8(output.stderr).unwrap();
+    assert!(output.status.code() == Some(2) && told.contains(words), "{told}");
+}
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -851,3 +851,35 @@
         assert_eq!(client.reply().await.unwrap().status, 200);
     });
 }
+
+/// A file of the old shape, put into the new one, is served from: holders are asked first, by the new layout.
+#[rstest]
+fn serves_from_a_reshaped_file() {
+    play(async {
+        let text = "[fleet]\nbrokers = 2\nzones = east, west\n[layout]\ncells = 2\nreach = 1\nshards = 16\n
+            [load]\ntold = pull\nprobes = true\nfields = queue\n";
+        let shape = reshape::Shape::read(text).unwrap();
+        let reshaped = |config: &mut Value| {
+            let made = reshape::reshape(config.to_string().as_bytes(), &shape, Some("west")).unwrap();
+            *config = serde_json::from_str(&made.text).unwrap();
+            // The old fleet's nodes stayed behind; discovery tells the new ones.
+            assert!(config.get("known").is_none());
+            load_by_probe(config);
+        };
+        let mut stage = Stage::with(2, reshaped, |_| ()).await;
+        let members: Vec<Value> = (0..2).map(|at| member(&stage.nodes, at, "ready")).collect();
+        stage.discovery.called().await;
+        stage.discovery.reply(json!({"revision": 7, "complete": true, "members": members}));
+        while !stage.broker.desk.can_serve() {
+            pause(5).await;
+        }
+        // Shard 3 begins at cell 3 mod 2, and reaches no further.
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let (node, line, heard) = stage.next().await;
+        assert_eq!((node, heard), (1, Heard::Probe));
+        stage.nodes[1].tell(line, "queue=0").await;
+        let (node, line, _) = stage.call().await;
+        stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        assert_eq!((node, client.reply().await.unwrap().status), (1, 200));
+    });
+}
--- a/crates/intake/src/check.rs
+++ b/crates/intake/src/check.rs
@@ -107,7 +107,7 @@
         }
         _ => {
             let allowed = match row {
-                Some(Field(_, form, ..)) if fits(*form, value) => return,
+                Some(Field(_, form, ..)) if form.holds(value) => return,
                 Some(Field(_, form, ..)) => form.allowed(),
                 None if is_list(key) => "a list".to_owned(),
                 None => "an object".to_owned(),
@@ -155,19 +155,6 @@
     }
 }
 
-fn fits(form: Form, value: &Value) -> bool {
-    let between = |least: f64, most: f64| value.as_f64().is_some_and(|n| (least..=most).contains(&n));
-    match form {
-        Form::Ms(least, most) | Form::Number(least, most) => between(least, most),
-        Form::Share => between(0.0, 1.0),
-        Form::Whole(least, most) => value.as_u64().is_some_and(|n| (least..=most).contains(&n)),
-        Form::Flag => value.is_boolean(),
-        Form::Text => value.as_str().is_some_and(|text| (1..=256).contains(&text.len())),
-        Form::OneOf(words) => value.as_str().is_some_and(|text| words.contains(&text)),
-        Form::Any => true,
-    }
-}
-
 fn show(value: &Value) -> String {
     match value {
         Value::Array(_) | Value::Object(_) => kind(value).to_owned(),
--- a/crates/intake/src/fields.rs
+++ b/crates/intake/src/fields.rs
@@ -3,6 +3,7 @@
 
 use Applies::{Aside, Live, New, Own, Restart};
 use Form::{Any, Flag, Ms, OneOf, Share, Text, Whole};
+use serde_json::Value;
 
 /// What a key may hold.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -119,6 +120,20 @@
 ];
 
 impl Form {
+    /// Whether a value is allowed.
+    pub fn holds(self, value: &Value) -> bool {
+        let between = |least: f64, most: f64| value.as_f64().is_some_and(|n| (least..=most).contains(&n));
+        match self {
+            Form::Ms(least, most) | Form::Number(least, most) => between(least, most),
+            Form::Share => between(0.0, 1.0),
+            Form::Whole(least, most) => value.as_u64().is_some_and(|n| (least..=most).contains(&n)),
+            Form::Flag => value.is_boolean(),
+            Form::Text => value.as_str().is_some_and(|text| (1..=256).contains(&text.len())),
+            Form::OneOf(words) => value.as_str().is_some_and(|text| words.contains(&text)),
+            Form::Any => true,
+        }
+    }
+
     /// What is allowed, in words.
     pub fn allowed(self) -> String {
         match self {
