After a blackout something is asked again: failures alone decline nothing with nothing out

Cause: read again. A queue told before a node was asked again, or by the process before, counted on (Node::queue has no age). Change: with nothing out, a holder without a told queue is in reach whatever failed before (hopeless); asking a node anew, and a newer process, strike what was told.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -398,7 +398,9 @@
     /// Whether no holder may have a part now, or the best can't bring it in time. A sound idle one can: a
     /// slow pair of holders is used for what it can do, rather than all that touches it turned away.
     fn hopeless(&self, r: &Retrieval, part: &Part) -> bool {
-        let idle = |n: &Node| n.calls.is_empty() && n.failures == 0 && n.queue() == Tenths::ZERO;
+        // Guards against a blackout that lasts: with nothing out, failures alone keep no one from being asked.
+        let anew = r.probed.is_some() && self.s.tickets.is_empty();
+        let idle = |n: &Node| n.calls.is_empty() && (n.failures == 0 || anew) && n.queue() == Tenths::ZERO;
         let nodes = self
             .holders(&r.terms.prescription.layout, part)
             .filter(|id| self.has_room(*id, r.category))
@@ -816,7 +818,7 @@
     /// A new process under an old id: nothing heard of the old one holds.
     fn read_roll(&mut self, roll: &Roll) {
         for id in self.s.read_roll(roll) {
-            self.s.amend(id, |node| (node.latency, node.failures) = (None, 0));
+            self.s.amend(id, |node| (node.latency, node.failures, node.told) = (None, 0, None));
         }
     }
 
--- a/crates/barleydrum/src/state.rs
+++ b/crates/barleydrum/src/state.rs
@@ -164,7 +164,7 @@
     pub calls: BTreeMap<CallNo, Call>,
     /// A probe that is not answered yet was sent then.
     pub probe_out: Option<Tenths>,
-    /// What it told of itself, and when; none where it let a probe go unanswered.
+    /// What it told of itself, and when; none while a probe is out.
     pub told: Option<Load>,
     /// The call of this turn, and how many parts it carries.
     pub riding: Option<(CallNo, u32)>,
@@ -562,9 +562,10 @@
         }
     }
 
+    /// Asks a node anew; what it told before no longer counts.
     pub fn probe(&mut self, id: NodeId) {
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.probe_out = Some(self.now);
+            (node.probe_out, node.told) = (Some(self.now), None);
             self.effects.push(Effect::Probe { node: id });
         }
     }
