--- a/crates/broker/src/roll.rs
+++ b/crates/broker/src/roll.rs
@@ -68,15 +68,18 @@
     }
 }
 
-/// Calls every so often, until one of the calls that are still waiting is answered; each waits no longer than it
-/// would alone, so few wait at a time.
+/// So many calls to a silent agent wait at a time, at the most: they share the few descriptors set aside for discovery.
+const WAITING: u32 = 10;
+
+/// Calls every so often, until one of the calls that are still waiting is answered.
 async fn call_until_answered(limits: &Limits, client: &Client, url: &str, every: Duration) -> Listing {
     let mut waiting = FuturesUnordered::new();
     let mut beat = tokio::time::interval_at(Instant::now() + every, every);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let within = limits.watch_slack.min(every * WAITING);
     loop {
         tokio::select! {
-            _ = beat.tick() => waiting.push(call(limits, client, url, limits.watch_slack)),
+            _ = beat.tick() => waiting.push(call(limits, client, url, within)),
             Some(Ok(listing)) = waiting.next() => return listing,
         }
     }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -6,6 +6,8 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use stand_ins::*;
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpSocket;
@@ -353,12 +355,13 @@
     play(async {
         let waits = |order: &mut Order| order.limits.watch_slack = Duration::from_millis(300);
         let mut stage = Stage::with(1, |_| (), waits).await;
-        let since = Instant::now();
-        for _ in 0..20 {
-            assert_eq!(stage.discovery.called().await, "/catalog/members");
-        }
         // Doubling from two and a half seconds, twenty calls take minutes.
-        assert!(since.elapsed() < Duration::from_secs(30), "{:?}", since.elapsed());
+        let twenty = async {
+            for _ in 0..20 {
+                assert_eq!(stage.discovery.called().await, "/catalog/members");
+            }
+        };
+        tokio::time::timeout(Duration::from_secs(30), twenty).await.expect("twenty calls");
         let list = json!({"revision": 2, "complete": true, "members": [member(&stage.nodes, 0, "ready")]});
         // Most of those calls were given up, and take an answer all the same.
         (0..60).for_each(|_| stage.discovery.reply(&list));
@@ -366,6 +369,30 @@
     });
 }
 
+/// Calls to a silent agent are given up in time: those that wait stay within the few descriptors set aside for it.
+#[rstest]
+fn few_calls_wait_at_a_silent_agent() {
+    play(async {
+        let agent = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
+        let place = agent.local_addr().unwrap();
+        let _stage = Stage::with(1, |_| (), move |order| order.discovery = place).await;
+        let (open, most) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+        // By the watch alone, five seconds, fifty would wait.
+        for _ in 0..40 {
+            let (mut stream, _) = agent.accept().await.unwrap();
+            open.set(open.get() + 1);
+            most.set(most.get().max(open.get()));
+            let open = open.clone();
+            tokio::task::spawn_local(async move {
+                // Reads to the end, and says nothing.
+                _ = tokio::io::copy(&mut stream, &mut tokio::io::sink()).await;
+                open.set(open.get() - 1);
+            });
+        }
+        assert!(most.get() <= 20, "{}", most.get());
+    });
+}
+
 /// A silent discovery is asked anew; one that only keeps a watch waiting, as it was told to, is waited for.
 #[rstest]
 fn tells_a_long_watch_from_silence() {
--- a/crates/lab/src/rush.rs
+++ b/crates/lab/src/rush.rs
@@ -28,6 +28,8 @@
 const MINDS: [Mind; 3] = [Mind::Module, Mind::Design, Mind::Random];
 /// At 1x the module serves all but what a few dead hosts had and what came in the rush's worst moments.
 const SERVES: f64 = 0.95;
+/// What keeping the rules may cost beside a baseline that breaks them.
+const KEEPS: f64 = 0.97;
 
 /// Rows in the layout of `task_events`: quiet, a rush in the middle third, quiet. A twentieth of the machines
 /// die as the rush is at its height and come back, a twentieth drain.
@@ -168,8 +170,10 @@
             // A run that breaks a rule counts for nothing: what it served by that is no measure.
             let others = played.iter().filter(|(t, _, day)| t == times && day.broken.is_empty());
             let best = others.map(|(.., day)| day.service.share()).fold(0.0, f64::max);
+            let any = played.iter().filter(|(t, ..)| t == times).map(|(.., day)| day.service.share());
             let served = day.service.share();
             pass &= day.broken.is_empty() && served >= best - 0.005 && (*times > 1.0 || served >= SERVES);
+            pass &= served >= KEEPS * any.fold(0.0, f64::max);
         }
     }
     let (brokers, seeds) = size.sweep;
