--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 
 help:
 	@echo "build  the release build of all programs"
-	@echo "test   all tests"
+	@echo "test   formatting, lints and all tests, as CI does"
 	@echo "lint   formatting and clippy"
 	@echo "run    one broker, CONFIG=path of its config file"
 	@echo "measure-trace    how fast traces are read; SIZE=small for a short one"
@@ -15,8 +15,7 @@
 	cargo build --release --locked
 
 test:
-	cargo test --workspace --locked
-	cargo test --package broker --features control --locked
+	bash .ci/check
 
 lint:
 	cargo fmt --all --check
