A process that starts sends nothing before its agent has listed the nodes; waits by the clock

Ruled out: the watch of running brokers (none was silent then).

Cause: `lib.rs` gave the module the file's `known` at the start, and `roll.rs` waited up to 5 s (`watch_slack`) for one first call, while drains that the agent has count as told from the first moment.

Change: where an agent has the list nothing is sent before it is heard, and it is called anew a third of the drain's grace apart from the first call on (`StopSendingWithinMs` is read now). A watch waits 4 s at the most and is given up after one more, so a silent one is noticed before what it misses counts as told 6 s after; before, 5 s and 5 s. The module's doubling wait after failures ends at 8 instead of 16 times, and its base is 6 s at the most on sockets: within 3.6 s. Discovery's answers without a length were read as empty by the HTTP client library; hyper's reads them to their end and takes no reset for one. Tests of processes and the lean measure have no agent: their settings ask for the list now, as they relied on `known` while discovery was down.

--- a/crates/barleydrum/src/policy.rs
+++ b/crates/barleydrum/src/policy.rs
@@ -837,7 +837,7 @@
     /// The roll's service is shared and finite: each failure doubles the wait, and lots are drawn.
     fn roll_failed(&mut self) {
         let wait = self.terms.prescription.rules.ask_within.max(SPAN).times(AGAIN);
-        let doubled = wait.times(f64::from(1 << self.s.roll_failures.min(4)) * (0.5 + self.rng.f64()));
+        let doubled = wait.times(f64::from(1 << self.s.roll_failures.min(3)) * (0.5 + self.rng.f64()));
         (self.s.roll_failures, self.s.roll_silent) = (self.s.roll_failures + 1, true);
         self.s.agenda.retain(|(_, due)| *due != Due::FollowRoll);
         self.s.agenda.insert((self.s.now + doubled, Due::FollowRoll));
--- a/crates/barleydrum/src/prescription.rs
+++ b/crates/barleydrum/src/prescription.rs
@@ -116,6 +116,8 @@
     pub fall_window: Tenths,
     /// Without a live roll, what was listed this long ago counts as told.
     pub ask_within: Tenths,
+    /// Nothing new goes to a node later than this after it was told to drain, or to be gone.
+    pub drain_grace: Tenths,
     pub further: Option<FurtherBudget>,
 }
 
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -78,7 +78,9 @@
         warn!("a category has a second step, which this protocol lacks: its retrievals are declined");
     }
     let desk = Desk::new(order.intake, order.seed, limits.clone(), order.since, fitting.admission);
-    if let Some(known) = order.known {
+    // Guards against drains that an agent has and that count as told from the first moment: it is heard before
+    // anything is sent, and what was known before is not used.
+    if let Some(known) = order.known.filter(|_| !limits.agent) {
         desk.hear_roll(RollKind::Remembered, known);
     }
     let counter = Counter { desk: desk.clone(), limits: limits.clone(), wrongs: Wrongs::default() };
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -42,7 +42,7 @@
     pub unheard: Duration,
     /// Parts given up on one connection of which a late answer is told from a wrong one.
     pub late_answers: usize,
-    /// A push of which nothing was written by then is taken back.
+    /// A push that was not written whole by then is taken back, or its connection cut.
     pub unsent: Tenths,
     /// A connection to a node is closed when it stood idle for so long.
     pub node_idle: Duration,
@@ -63,20 +63,43 @@
     pub sweep: Duration,
     /// The longest that a client may say it waits.
     pub longest_wait: Duration,
+    /// What discovery has to tell counts as told after this, heard or not.
+    pub untold: Tenths,
+    /// A call for all nodes is given up after this.
+    pub list_within: Duration,
+    /// Where the settings call the roll automatic, discovery is an agent on the broker's own machine.
+    pub agent: bool,
     /// The wait that discovery is asked for, and what its answer may take beyond that.
     pub watch: Duration,
     pub watch_slack: Duration,
-    /// While discovery is silent it is called anew after this, the earlier calls still waiting; none: the module says
-    /// when. Where the settings call the roll automatic, discovery is an agent on the broker's own machine.
-    pub watch_anew: Option<Duration>,
+    /// A silent agent is called anew after this, the earlier calls still waiting, but only so many of them.
+    pub watch_anew: Duration,
+    pub watch_calls: u32,
     /// New connections keep coming for so long after the word to leave.
     pub last_moment: Duration,
+    /// All that was taken has its answer so long after the word to leave.
+    pub leave_within: Duration,
+    /// Those that had to be given up then are written within this.
+    pub last_answers: Duration,
+    /// The close of a client that hides behind bytes it sent ahead is looked for so often.
+    pub look: Duration,
     /// Least time between two turns.
     pub period: Tenths,
 }
 
 /// Files, pipes, the listener, discovery: what needs a descriptor beside peers.
 const OWN: usize = 32;
+/// The protocol's clock: what a watch that fell silent misses counts as told so long after it fell silent, or so long
+/// after the wait that it was called for, if that is later.
+const TOLD_AFTER_SILENCE: Duration = Duration::from_secs(6);
+const TOLD_AFTER_WAIT: Duration = Duration::from_secs(2);
+/// Each of the protocol's time limits is so much longer on sockets.
+const SOCKETS: Duration = Duration::from_millis(50);
+/// The kill comes no sooner than the longest deadline, of which no more than this counts, and the time beyond it.
+const LONGEST_COUNTED: Tenths = Tenths(30_000);
+const KILL_BEYOND: Duration = Duration::from_millis(700);
+/// A client that left while its request waited: nothing of it goes out later than this.
+const LEFT_WITHIN: Duration = Duration::from_millis(300);
 const KIB: usize = 1024;
 /// What the buffers of one connection may come to: a head, what the HTTP server sets aside, an answer.
 const BUFFERS: usize = 48 * KIB;
@@ -100,7 +123,17 @@
         let p = &intake.prescription;
         let line_parts = intake.lines.parts.unwrap_or(1).max(1) as usize;
         let connect = intake.lines.connect.unwrap_or(Tenths::from_ms(1000.0));
-        let watch = (span(p.rules.ask_within) / 10).clamp(Duration::from_secs(1), Duration::from_secs(5));
+        // No longer than that both clocks count from the call: what it costs grows with the calls.
+        let longest_watch = TOLD_AFTER_SILENCE - TOLD_AFTER_WAIT;
+        let watch = (span(p.rules.ask_within) / 10).clamp(Duration::from_secs(1), longest_watch);
+        // Half is for noticing that it fell silent, half for the call that takes its place.
+        let watch_slack = TOLD_AFTER_WAIT / 2;
+        // In a third of the grace it is called, in one it answers, in the last the parts that wait are taken back.
+        let watch_anew = (span(p.rules.drain_grace) + SOCKETS) / 3;
+        // They share the few descriptors that are set aside.
+        let watch_calls = OWN as u32 / 3;
+        let agent = !p.roll_on_request;
+        let longest = p.categories.values().map(|category| category.cut_off).max().unwrap_or_default();
         let idle = intake.lines.idle.map_or(Duration::from_secs(10), span);
         Ok(Limits {
             client_lines: lines - surplus_lines,
@@ -132,12 +165,21 @@
             keep_alive: Duration::from_secs(60),
             sweep: Duration::from_millis(250),
             longest_wait: Duration::from_secs(600),
-            // Short, since a connection may fall silent unseen: what is not told by then is asked for anew.
+            untold: Tenths(TOLD_AFTER_SILENCE.as_millis() as i64 * 10),
+            list_within: if agent {
+                watch_slack.min(watch_anew * watch_calls)
+            } else {
+                TOLD_AFTER_SILENCE / 2
+            },
+            agent,
             watch,
-            watch_slack: watch,
-            // A tenth of a second, and the drain's grace is two and a half: what the agent has, counts as told.
-            watch_anew: (!p.roll_on_request).then_some(Duration::from_millis(100)),
+            watch_slack,
+            watch_anew,
+            watch_calls,
             last_moment: Duration::from_millis(500),
+            leave_within: span(longest.min(LONGEST_COUNTED)) + KILL_BEYOND - 2 * SOCKETS,
+            last_answers: SOCKETS,
+            look: LEFT_WITHIN / 3,
             period: p.period,
         })
     }
--- a/crates/broker/src/roll.rs
+++ b/crates/broker/src/roll.rs
@@ -3,40 +3,48 @@
 use crate::desk::Desk;
 use crate::limits::Limits;
 use crate::listing::Listing;
-use awc::Client;
 use barleydrum::RollKind;
-use futures_util::StreamExt;
+use bytes::Bytes;
 use futures_util::stream::FuturesUnordered;
+use futures_util::{FutureExt, StreamExt};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper_util::client::legacy::{self, connect::HttpConnector};
+use hyper_util::rt::TokioExecutor;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, MissedTickBehavior};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
 use tracing::warn;
 
+/// Keeps its connections; reads an answer without a length up to its end, and takes no reset for one.
+type Client = legacy::Client<HttpConnector, Empty<Bytes>>;
+
 /// Each time that the desk asks for it, follows the roll until a call fails, and says so. Where discovery has
-/// moved, the old watch is dropped and the new place is asked for all nodes at once. An agent on this machine that
-/// failed is called until it answers: guards against drains that it has, and that count as told, while the broker
-/// waits longer after each failure, as it must where discovery is shared.
+/// moved, the old watch is dropped and the new place is asked for all nodes at once. An agent on this machine is
+/// called until it answers: guards against drains that it has, and that count as told, while the broker waits longer
+/// after each failure, as it must where discovery is shared.
 pub async fn follow(desk: Rc<Desk>, limits: Rc<Limits>, mut discovery: watch::Receiver<SocketAddr>) {
-    // Its own time-out is shorter than a watch; each call below has one that fits it.
-    let client = Client::builder().disable_timeout().disable_redirects().finish();
+    let client: Client = legacy::Client::builder(TokioExecutor::new()).build_http();
     loop {
         tokio::select! {
             () = desk.roll_wanted.notified() => {}
             Ok(()) = discovery.changed() => {}
         }
-        let mut anew = None;
         loop {
             let place = *discovery.borrow_and_update();
+            // Guards against an agent that lists and breaks off at once, again and again.
+            let anew = tokio::time::Instant::now() + limits.watch_anew;
             tokio::select! {
-                Err(why) = watch(&desk, &limits, &client, place, anew) => {
+                Err(why) = watch(&desk, &limits, &client, place) => {
                     warn!("the roll is not followed, the old one holds: {why}");
+                    // What was wanted before this failure was this call; now the module says when.
+                    let _ = desk.roll_wanted.notified().now_or_never();
                     desk.roll_failed();
-                    anew = limits.watch_anew;
-                    if anew.is_none() {
+                    if !limits.agent {
                         break;
                     }
+                    sleep_until(anew).await;
                 }
                 Ok(()) = discovery.changed() => {}
             }
@@ -49,12 +57,11 @@
     limits: &Limits,
     client: &Client,
     discovery: SocketAddr,
-    anew: Option<Duration>,
 ) -> Result<std::convert::Infallible, String> {
     let list = format!("http://{discovery}/catalog/members");
-    let mut listing = match anew {
-        Some(every) => call_until_answered(limits, client, &list, every).await,
-        None => call(limits, client, &list, limits.watch_slack).await?,
+    let mut listing = match limits.agent {
+        true => call_until_answered(limits, client, &list).await,
+        false => call(limits, client, &list, limits.list_within).await?,
     };
     if !listing.all {
         return Err("asked for all nodes, discovery sent changes".to_owned());
@@ -68,31 +75,44 @@
     }
 }
 
-/// So many calls to a silent agent wait at a time, at the most: they share the few descriptors set aside for discovery.
-const WAITING: u32 = 10;
-
-/// Calls every so often, until one of the calls that are still waiting is answered.
-async fn call_until_answered(limits: &Limits, client: &Client, url: &str, every: Duration) -> Listing {
+/// Calls every so often, the first time at once, until one of the calls that are still waiting is answered.
+async fn call_until_answered(limits: &Limits, client: &Client, url: &str) -> Listing {
     let mut waiting = FuturesUnordered::new();
-    let mut beat = tokio::time::interval_at(Instant::now() + every, every);
+    let mut beat = interval(limits.watch_anew);
     beat.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let within = limits.watch_slack.min(every * WAITING);
+    let mut silent = false;
     loop {
         tokio::select! {
-            _ = beat.tick() => waiting.push(call(limits, client, url, within)),
-            Some(Ok(listing)) = waiting.next() => return listing,
+            _ = beat.tick() => waiting.push(call(limits, client, url, limits.list_within)),
+            Some(answer) = waiting.next() => match answer {
+                Ok(listing) => return listing,
+                // One line for all of its silence.
+                Err(why) if !silent => {
+                    silent = true;
+                    warn!("the agent does not list the nodes, it is called on: {why}");
+                }
+                Err(_) => {}
+            },
         }
     }
 }
 
 async fn call(limits: &Limits, client: &Client, url: &str, within: Duration) -> Result<Listing, String> {
     let exchange = async {
-        let mut response = client.get(url).send().await.map_err(|e| e.to_string())?.timeout(within);
+        let url = url.parse().map_err(|e| format!("{url}: {e}"))?;
+        let response = client.get(url).await.map_err(|e| told(&e))?;
         if !response.status().is_success() {
             return Err(format!("discovery answers {}", response.status()));
         }
-        let body = response.body().limit(limits.body).await.map_err(|e| e.to_string())?;
+        let body = Limited::new(response.into_body(), limits.body).collect().await;
+        let body = body.map_err(|e| told(&*e))?.to_bytes();
         serde_json::from_slice(&body).map_err(|e| format!("a roll that can't be read: {e}"))
     };
     tokio::time::timeout(within, exchange).await.map_err(|_| "discovery is silent".to_owned())?
 }
+
+/// An error with what it came from.
+fn told(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |error| error.source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
--- a/crates/broker/src/start.rs
+++ b/crates/broker/src/start.rs
@@ -96,6 +96,9 @@
         intake.prescription.send_lag = limits.unsent + limits.period;
         // Discovery is asked here; what the settings call automatic, the agent's watch brings about.
         intake.prescription.roll_on_request = true;
+        // After a call that failed the module may wait no longer than what it then misses stays untold.
+        let rules = &mut intake.prescription.rules;
+        rules.ask_within = rules.ask_within.min(limits.untold);
         Ok(Order {
             name: env("EDGE_NAME").or(file.name).ok_or("`name` is missing")?,
             listen: address("listen", file.listen)?,
--- a/crates/broker/tests/control/party.rs
+++ b/crates/broker/tests/control/party.rs
@@ -33,13 +33,13 @@
 /// 0, odd ones in cell 1, which no node is in.
 pub fn document(number: u64) -> Value {
     let category = |name: &str, goal: f64| json!({"Name": name, "OnTimeMs": goal, "DeadlineMs": 5000.0, "Worth": 1.0, "Effect": "idempotent"});
-    json!({"Instances": 3, "PeriodMs": 5.0, "RegistryMode": "automatic", "Areas": ["hall"], "Tenants": [],
+    json!({"Instances": 3, "PeriodMs": 5.0, "RegistryMode": "subscribe", "Areas": ["hall"], "Tenants": [],
         "Services": [category("lookup", 2000.0), category("probe", 60.0)],
         "Domain": {"Cells": 2, "Reach": 1, "Ranges": 32 + 2 * number, "PerCall": 4,
             "CompleteFrom": [1.0, 1.0], "MinShare": [1.0, 1.0]},
         "Limits": {"ConnIdleMs": 15000.0, "ConnectTimeoutMs": 2000.0, "MaxAttempts": 3, "MaxOpen": 1000,
             "MayCancel": true, "StreamsPerConn": 32, "RetryAfter": true, "MaxRetryAfterMs": 10.0 + number as f64},
-        "Rules": {"AskWithinMs": 50000.0, "ColdFrom": 0.2, "WarmUpMs": 17000.0, "OverloadFactor": 3.0,
+        "Rules": {"AskWithinMs": 50000.0, "StopSendingWithinMs": 250.0, "ColdFrom": 0.2, "WarmUpMs": 17000.0, "OverloadFactor": 3.0,
             "OverloadForMs": 1000.0}})
 }
 
@@ -69,7 +69,7 @@
         (settings["Zone"], settings["Me"]) = (json!(0), json!(1));
         let member = json!({"id": "s-0", "host_port": start.node.to_string(), "locality": "hall", "flavor": "std",
             "cell": 0, "phase": "ready", "size": 1.0, "up_since_ms": 0});
-        // Discovery is down for as long as this lasts: the known roll holds.
+        // Discovery is down for as long as this lasts: the list is asked for, so the known roll holds.
         let config = json!({"name": start.name, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
             "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"revision": 1, "complete": true, "members": [member]}, "settings": settings});
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -290,10 +290,10 @@
         };
         assert_eq!(stage.discovery.called().await, "/catalog/members");
         stage.discovery.reply(list(&stage, 41, true, &[(0, "ready"), (1, "ready")]));
-        assert_eq!(stage.discovery.called().await, "/catalog/members?after=41&wait_ms=5000");
+        assert_eq!(stage.discovery.called().await, "/catalog/members?after=41&wait_ms=4000");
         let answered = Instant::now();
         stage.discovery.reply(list(&stage, 43, false, &[(0, "draining")]));
-        assert_eq!(stage.discovery.called().await, "/catalog/members?after=43&wait_ms=5000");
+        assert_eq!(stage.discovery.called().await, "/catalog/members?after=43&wait_ms=4000");
         assert!(answered.elapsed() < Duration::from_millis(200));
         // What can't be read leaves the old roll as it is, and all is asked for again.
         stage.discovery.reply("{\"revision\":44,\"complete\":true,\"members\":[{\"id\":7}]}");
@@ -324,7 +324,7 @@
         assert_eq!(old.discovery.called().await, "/catalog/members");
         for _ in 0..2 {
             old.discovery.reply(json!({"revision": 41, "complete": true, "members": []}));
-            assert_eq!(old.discovery.called().await, "/catalog/members?after=41&wait_ms=5000");
+            assert_eq!(old.discovery.called().await, "/catalog/members?after=41&wait_ms=4000");
         }
         for unusable in ["{\"name\":", "{}", &told.to_string().replace("\"discovery\":", "\"else\":")] {
             write(unusable.to_owned());
@@ -335,7 +335,7 @@
         program.signal("HUP");
         assert_eq!(new.called().await, "/catalog/members");
         new.reply(json!({"revision": 3, "complete": true, "members": [member(&old.nodes, 1, "ready")]}));
-        assert_eq!(new.called().await, "/catalog/members?after=3&wait_ms=5000");
+        assert_eq!(new.called().await, "/catalog/members?after=3&wait_ms=4000");
         let mut client = Client::to(program.listens).await;
         client.write(&request("a", "lookup", 9000, &body(ONE))).await;
         let (node, line, _) = old.call().await;
@@ -353,8 +353,8 @@
 #[rstest]
 fn calls_a_silent_agent_until_it_answers() {
     play(async {
-        let waits = |order: &mut Order| order.limits.watch_slack = Duration::from_millis(300);
-        let mut stage = Stage::with(1, |_| (), waits).await;
+        let waits = |order: &mut Order| order.limits.list_within = Duration::from_millis(300);
+        let mut stage = Stage::with(1, pushed, waits).await;
         // Doubling from two and a half seconds, twenty calls take minutes.
         let twenty = async {
             for _ in 0..20 {
@@ -365,7 +365,7 @@
         let list = json!({"revision": 2, "complete": true, "members": [member(&stage.nodes, 0, "ready")]});
         // Most of those calls were given up, and take an answer all the same.
         (0..60).for_each(|_| stage.discovery.reply(&list));
-        while stage.discovery.called().await != "/catalog/members?after=2&wait_ms=5000" {}
+        while stage.discovery.called().await != "/catalog/members?after=2&wait_ms=4000" {}
     });
 }
 
@@ -375,7 +375,7 @@
     play(async {
         let agent = tokio::net::TcpListener::bind(("127.0.0.1", 0)).await.unwrap();
         let place = agent.local_addr().unwrap();
-        let _stage = Stage::with(1, |_| (), move |order| order.discovery = place).await;
+        let _stage = Stage::with(1, pushed, move |order| order.discovery = place).await;
         let (open, most) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
         // By the watch alone, five seconds, fifty would wait.
         for _ in 0..40 {
@@ -400,8 +400,9 @@
         let waits = |order: &mut Order| {
             order.limits.watch = Duration::from_secs(8);
             order.limits.watch_slack = Duration::from_millis(300);
+            order.limits.list_within = Duration::from_millis(300);
         };
-        let mut stage = Stage::with(1, |_| (), waits).await;
+        let mut stage = Stage::with(1, pushed, waits).await;
         assert_eq!(stage.discovery.called().await, "/catalog/members");
         assert_eq!(stage.discovery.called().await, "/catalog/members", "the first was never answered");
         let members = [member(&stage.nodes, 0, "ready")];
--- a/crates/broker/tests/sockets/stand_ins.rs
+++ b/crates/broker/tests/sockets/stand_ins.rs
@@ -37,7 +37,8 @@
         "flavor": "std", "cell": at, "phase": phase, "size": 1.0, "up_since_ms": 0})
 }
 
-/// A config as a broker finds it; of its categories `report` may be partial, and `once` runs at most once.
+/// A config as a broker finds it; of its categories `report` may be partial, and `once` runs at most once. Its list is
+/// asked for, so that it serves from what it knew until discovery is heard.
 pub fn config(nodes: &[Node], discovery: &str) -> Value {
     let category = |name: &str, effect: &str| {
         json!({"Name": name, "OnTimeMs": 8000.0, "DeadlineMs": 16000.0, "Worth": 1.0, "LateShare": 0.1,
@@ -47,7 +48,7 @@
     json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"revision": 1, "complete": true, "members": members},
-        "settings": {"Instances": 1, "PeriodMs": 5.0, "RegistryMode": "automatic", "Areas": ["hall"],
+        "settings": {"Instances": 1, "PeriodMs": 5.0, "RegistryMode": "subscribe", "Areas": ["hall"],
             "Zone": 0, "Tenants": [], "Prices": {"LateFail": 0.05},
             "Services": [category("report", "idempotent"), category("lookup", "idempotent"),
                 category("once", "at_most_once")],
@@ -55,10 +56,15 @@
                 "CompleteFrom": [1.0, 1.0, 1.0], "MinShare": [0.4, 1.0, 1.0], "FetchParts": [0, 0, 0]},
             "Limits": {"ConnIdleMs": 15000.0, "ConnectTimeoutMs": 2000.0, "MaxAttempts": 3, "MaxOpen": 100,
                 "MayCancel": true, "StreamsPerConn": 32, "RetryAfter": true, "MaxRetryAfterMs": 1500.0},
-            "Rules": {"AskWithinMs": 50000.0, "ColdFrom": 0.2, "WarmUpMs": 17000.0, "OverloadFactor": 3.0,
+            "Rules": {"AskWithinMs": 50000.0, "StopSendingWithinMs": 250.0, "ColdFrom": 0.2, "WarmUpMs": 17000.0, "OverloadFactor": 3.0,
                 "OverloadForMs": 1000.0}}})
 }
 
+/// The list is pushed: an agent of the broker's own has it.
+pub fn pushed(config: &mut Value) {
+    config["settings"]["RegistryMode"] = json!("automatic");
+}
+
 impl Stage {
     pub async fn new(nodes: usize) -> Stage {
         Stage::with(nodes, |_| (), |_| ()).await
@@ -151,6 +157,11 @@
         assert!(std::process::Command::new("kill").args([signal, id]).status().unwrap().success());
     }
 
+    /// Waits for its end; its exit code.
+    pub fn exit(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+
     /// Reads the log up to a line with these words; what follows them on it.
     pub fn says(&self, words: &str) -> String {
         let mut line = String::new();
--- a/crates/intake/src/fields.rs
+++ b/crates/intake/src/fields.rs
@@ -104,7 +104,7 @@
     Field("Rules.ResendRatio",            Form::Number(0.0, 1000.0),    false,  Live),
     Field("Rules.BudgetWindowMs",         Ms(1.0, DAY),                 false,  Live),
     Field("Rules.GraceToAnswerMs",        Any,                          false,  Aside),
-    Field("Rules.StopSendingWithinMs",    Any,                          false,  Aside),
+    Field("Rules.StopSendingWithinMs",    Ms(0.0, DAY),                 false,  Restart),
     Field("RegistryMode",                 OneOf(&["automatic", "subscribe"]), true, Restart),
     Field("Prices.LateFail",              Form::Number(0.0, 1e9),       false,  New),
     Field("Prices",                       Any,                          false,  Aside),
--- a/crates/intake/src/lib.rs
+++ b/crates/intake/src/lib.rs
@@ -129,6 +129,7 @@
             fall_multiple: rules.overload_factor,
             fall_window: Tenths::from_ms(rules.overload_for_ms),
             ask_within: Tenths::from_ms(rules.ask_within_ms),
+            drain_grace: Tenths::from_ms(rules.stop_sending_within_ms),
             further: rules.budget_window_ms.map(|window| FurtherBudget {
                 floor: rules.extra_floor.unwrap_or(0.0),
                 share: rules.resend_ratio.unwrap_or(0.0),
--- a/crates/intake/src/text.rs
+++ b/crates/intake/src/text.rs
@@ -100,6 +100,8 @@
     pub overload_for_ms: f64,
     #[serde(default)]
     pub ask_within_ms: f64,
+    #[serde(default)]
+    pub stop_sending_within_ms: f64,
     pub extra_floor: Option<f64>,
     pub resend_ratio: Option<f64>,
     pub budget_window_ms: Option<f64>,
--- a/crates/lab/src/lean.rs
+++ b/crates/lab/src/lean.rs
@@ -90,7 +90,7 @@
     json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
         "known": {"revision": 1, "complete": true, "members": [member]},
-        "settings": {"Instances": 1, "PeriodMs": 0.1, "RegistryMode": "automatic", "Areas": ["hall"],
+        "settings": {"Instances": 1, "PeriodMs": 0.1, "RegistryMode": "subscribe", "Areas": ["hall"],
             "Services": [{"Name": "lookup", "OnTimeMs": 2000.0, "DeadlineMs": 5000.0, "Worth": 1.0,
                 "Effect": "idempotent"}],
             "Domain": {"Cells": 1, "Reach": 1, "Ranges": 16, "PerCall": 4, "CompleteFrom": [1.0],
--- a/crates/lab/src/scene.rs
+++ b/crates/lab/src/scene.rs
@@ -122,6 +122,7 @@
             fall_multiple: build.fall_multiple,
             fall_window: build.fall_window,
             ask_within: ASK_WITHIN,
+            drain_grace: GRACE,
             further: budget(staging),
         },
         ..Prescription::default()
@@ -148,7 +149,7 @@
     let build = build(cast);
     let mut rules = json!({"AskWithinMs": ASK_WITHIN.as_ms(), "ColdFrom": build.cold_share,
         "WarmUpMs": build.warm_after.as_ms(), "OverloadFactor": build.fall_multiple,
-        "OverloadForMs": build.fall_window.as_ms()});
+        "OverloadForMs": build.fall_window.as_ms(), "StopSendingWithinMs": GRACE.as_ms()});
     if let Some(budget) = staging.budget {
         rules["ExtraFloor"] = json!(budget.few);
         rules["ResendRatio"] = json!(budget.share);
