What meets in one moment: closes, last requests, half frames, clients that left, the way out

At fault and mended: - `nodes.rs`, `write`: a call counted as begun before its first byte had left. Now nothing leaves the queue before the peer takes bytes, so it can be taken back; a frame half written past its moment is cut off; a call that meets the close of a resting connection goes on another, since nothing of it was written. - `front.rs`: a connection let go was closed over a request that lay unread; now that is answered and is the last one. Bytes behind a last answer no longer end in a reset. A request behind a last one is not sent on: no answer could follow.

--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -142,7 +142,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
-    /// By then its first byte is written, or it is taken back.
+    /// By then its last byte is written, or it never will be.
     Unsent,
     /// Its time-out.
     Over,
@@ -497,7 +497,7 @@
         let now = self.tenths(Instant::now());
         while let Some((_, timer, push)) = self.next_timer(now) {
             match timer {
-                Timer::Unsent => _ = self.nodes.take_back(push, PushEnd::NoConnection),
+                Timer::Unsent => self.nodes.no_longer(push),
                 Timer::Over => self.nodes.give_up(push, PushEnd::TimedOut),
             }
         }
@@ -622,6 +622,16 @@
         calls
     }
 
+    /// The process ends: what is open gets its final word, failed. Tells how many there were.
+    pub fn end_open(&self) -> usize {
+        let open: Vec<RetrievalId> = self.book.borrow().retrievals.keys().copied().collect();
+        for id in &open {
+            self.tell(*id, |_| Verdict::Scrap);
+            self.hear(Input::CallerLeft(*id));
+        }
+        open.len()
+    }
+
     fn tell(&self, id: RetrievalId, verdict: impl FnOnce(Vec<(ShardNo, Bytes)>) -> Verdict) {
         if let Some((open, items)) = self.close(id) {
             let verdict = verdict(items);
--- a/crates/broker/src/frame.rs
+++ b/crates/broker/src/frame.rs
@@ -3,7 +3,7 @@
 use barleydrum::{PushEnd, Told};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
-use tokio_util::codec::{Decoder, Encoder};
+use tokio_util::codec::Decoder;
 
 const PREFIX: usize = 4;
 /// The most values of a load report that are read.
@@ -58,13 +58,12 @@
     pub most: usize,
 }
 
-impl Encoder<ToNode> for Frames {
-    type Error = io::Error;
-
-    fn encode(&mut self, frame: ToNode, to: &mut BytesMut) -> io::Result<()> {
+impl ToNode {
+    /// Puts the whole frame behind what is there.
+    pub fn encode(&self, to: &mut BytesMut) {
         let start = to.len();
         to.put_u32_le(0);
-        match frame {
+        match self {
             ToNode::Call(parts) => {
                 to.put_u8(b'1');
                 for part in parts {
@@ -77,12 +76,11 @@
             ToNode::Probe => to.put_u8(b'4'),
             ToNode::GiveUp(id) => {
                 to.put_u8(b'2');
-                to.put_slice(&id);
+                to.put_slice(id);
             }
         }
         let length = (to.len() - start - PREFIX) as u32;
         to[start..start + PREFIX].copy_from_slice(&length.to_le_bytes());
-        Ok(())
     }
 }
 
--- a/crates/broker/src/front.rs
+++ b/crates/broker/src/front.rs
@@ -7,18 +7,22 @@
 use actix_http::{ConnectionType, HttpService, KeepAlive, Method, Payload, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
+use futures_util::FutureExt;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{Instant, interval, sleep, timeout};
+use tokio::time::{Instant, Sleep, interval, sleep, timeout};
 use tracing::{debug, warn};
 
 /// What is known of one client's connection.
@@ -44,6 +48,8 @@
     wrong: Cell<usize>,
     /// What it is told beside the HTTP server, before it is let go.
     last_word: Cell<Option<StatusCode>>,
+    /// It is let go with the answer to the request that came in that moment.
+    last: Cell<bool>,
     /// Its last answer is on the way.
     ending: Cell<bool>,
     /// What comes behind that is no body, which the HTTP server would take in.
@@ -57,8 +63,11 @@
     /// Nothing is under way on it. One that is new has a moment for its first request, which may have been
     /// written already.
     fn is_idle(&self) -> bool {
-        let at_rest = !self.busy.get() && self.begun.get().is_none() && self.stuck.get().is_none();
-        at_rest && (self.served.get() || self.used.get().elapsed() > self.limits.first_moment)
+        self.at_rest() && (self.served.get() || self.used.get().elapsed() > self.limits.first_moment)
+    }
+
+    fn at_rest(&self) -> bool {
+        !self.busy.get() && self.begun.get().is_none() && self.stuck.get().is_none()
     }
 
     fn end(&self, last_word: Option<StatusCode>) {
@@ -92,20 +101,58 @@
 struct Watched {
     stream: Rc<RefCell<TcpStream>>,
     line: Rc<Line>,
+    /// When the client's close is looked for behind the bytes that it sent ahead.
+    look: Option<Pin<Box<Sleep>>>,
+}
+
+impl Watched {
+    /// What lies unread hides the close: no event tells of it, so it is looked for.
+    fn poll_hidden_close(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+        while !is_read_closed(&self.stream.borrow()) {
+            let look = self.look.get_or_insert_with(|| Box::pin(sleep(self.line.limits.look)));
+            ready!(look.as_mut().poll(cx));
+            self.look = None;
+            self.drop_flood();
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// More than a request may have lies ahead: the close behind it would not even arrive. So it is taken in and
+    /// dropped, so much a look, and the connection ends with the answer that is under way.
+    fn drop_flood(&self) {
+        let (stream, limits) = (self.stream.borrow(), &self.line.limits);
+        let mut ahead = vec![MaybeUninit::uninit(); limits.body];
+        if SockRef::from(&*stream).peek(&mut ahead).is_ok_and(|count| count == limits.body) {
+            self.line.last.set(true);
+            let mut dropped = vec![0; limits.linger_bytes];
+            let _ = stream.try_read(&mut dropped);
+        }
+    }
+}
+
+/// Whether the peer has closed its side, behind what it sent before.
+fn is_read_closed(stream: &TcpStream) -> bool {
+    let ready = stream.ready(Interest::READABLE).now_or_never();
+    ready.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+}
+
+/// Whether bytes lie unread, asked of the system: word of them may not have come yet.
+fn has_unread(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|count| count > 0)
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let (line, mut stream) = (&self.line, self.stream.borrow_mut());
-        if line.whole.get() {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if self.line.whole.get() {
             // Guards against floods on one connection: but for the close, nothing more is heard of it now.
             let mut byte = [0];
-            if ready!(stream.poll_peek(cx, &mut ReadBuf::new(&mut byte)))? == 0 {
+            if ready!(self.stream.borrow_mut().poll_peek(cx, &mut ReadBuf::new(&mut byte)))? == 0 {
                 return Poll::Ready(Ok(()));
             }
-            line.reader.set(Some(cx.waker().clone()));
-            return Poll::Pending;
+            self.line.reader.set(Some(cx.waker().clone()));
+            return self.poll_hidden_close(cx);
         }
+        let (line, mut stream) = (&self.line, self.stream.borrow_mut());
         if !line.has_room(cx) {
             return Poll::Pending;
         }
@@ -206,9 +253,18 @@
                 }
             }
         }
-        // Guards against connections that were made and are not known of yet: closing would reset them.
+        // Guards against connections that were made and are not known of yet: closing would reset them. At the bound
+        // they wait for room.
         if let Ok(listener) = listener.into_std() {
-            while self.lines.borrow().len() < most {
+            loop {
+                while self.lines.borrow().len() >= most {
+                    self.let_slow_go();
+                    self.let_idle_go();
+                    tokio::select! {
+                        () = self.line_ended.notified() => {}
+                        () = sleep(limits.first_moment) => {}
+                    }
+                }
                 let Ok(stream) = listener.accept().and_then(|(stream, _)| into_async(stream)) else { break };
                 self.clone().welcome(stream, service.clone());
             }
@@ -241,6 +297,7 @@
             useful: Cell::default(),
             wrong: Cell::default(),
             last_word: Cell::default(),
+            last: Cell::default(),
             ending: Cell::default(),
             behind: Cell::default(),
             reader: Cell::default(),
@@ -249,18 +306,31 @@
         self.lines.borrow_mut().push(line.clone());
         actix_rt::spawn(async move {
             let stream = Rc::new(RefCell::new(stream));
-            let watched = Watched { stream: stream.clone(), line: line.clone() };
-            let unread = tokio::select! {
-                // First: one that was idle when it was let go reads no request any more, which would be lost.
-                biased;
-                () = line.go.notified() => line.last_word.get().is_some(),
-                ended = service.call((watched, None)) => match ended {
-                    Err(DispatchError::Parse(_)) => {
-                        self.counter.wrongs.note(400, "no request that can be read");
-                        true
+            let watched = Watched { stream: stream.clone(), line: line.clone(), look: None };
+            let unread = {
+                let mut served = pin!(service.call((watched, None)));
+                loop {
+                    tokio::select! {
+                        // First: what comes on one that was idle when it was let go is not read by halves.
+                        biased;
+                        () = line.go.notified() => {
+                            let word = line.last_word.get().is_some();
+                            // Guards against a request that came in this moment: closing over it would reset it.
+                            if !word && line.at_rest() && has_unread(&stream.borrow()) {
+                                line.last.set(true);
+                                continue;
+                            }
+                            break word;
+                        }
+                        ended = &mut served => match ended {
+                            Err(DispatchError::Parse(_)) => {
+                                self.counter.wrongs.note(400, "no request that can be read");
+                                break true;
+                            }
+                            _ => break line.behind.get(),
+                        },
                     }
-                    _ => line.behind.get() && !self.closing.get(),
-                },
+                }
             };
             if let Some(stream) = Rc::into_inner(stream).filter(|_| unread) {
                 self.take_leave(stream.into_inner(), line.last_word.get()).await;
@@ -292,16 +362,23 @@
         let Some(line) = request.conn_data::<Rc<Line>>().cloned() else {
             return plain(StatusCode::INTERNAL_SERVER_ERROR, "a connection that is not known\n");
         };
+        if line.ending.get() {
+            // It came ahead, behind the last one that this connection answers: no answer could follow.
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "the connection ends\n");
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            return response;
+        }
         let arrived = line.begun.take().unwrap_or_else(Instant::now);
         line.came.set(0);
         let busy = Busy::new(&line);
         let has_body = !matches!(request.payload(), Payload::None);
+        let said_last = request.head().connection_type() == ConnectionType::Close;
         let mut response = self.route(request, &line, arrived).await;
         line.wrong.set(if response.status().is_client_error() { line.wrong.get() + 1 } else { 0 });
         // Guards against callers that come with the same again and again: another connection costs them more.
         let tired = line.wrong.get() >= self.counter.limits.wrong;
         let unread = has_body && !line.whole.get();
-        if line.surplus || self.closing.get() || tired || unread {
+        if said_last || line.surplus || self.closing.get() || line.last.get() || tired || unread {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         line.ending.set(response.head().connection_type() == ConnectionType::Close);
@@ -421,67 +498,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::desk::Desk;
-    use crate::limits::{Limits, Machine};
-    use intake::Intake;
-    use rstest::rstest;
-    use std::io::{Read, Write};
-
-    /// A front that knows no node, and keeps so many idle connections.
-    fn front(kept_lines: usize) -> Rc<Front> {
-        let machine = Machine { memory_mb: 192, sockets: 1024 };
-        let limits = Limits::new(machine, &Intake::default()).unwrap();
-        let limits = Rc::new(Limits { kept_lines, ..limits });
-        let desk = Desk::new(Intake::default(), 1, limits.clone(), None, None);
-        Front::new(Counter { desk, limits, wrongs: Default::default() })
-    }
-
-    /// A request that comes as its connection is let go stays unread, and so its client sends it again.
-    #[rstest]
-    fn takes_nothing_on_a_connection_let_go() {
-        actix_rt::Runtime::new().unwrap().block_on(async {
-            let front = front(0);
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let address = listener.local_addr().unwrap();
-            actix_rt::spawn(front.clone().run(listener));
-            let health = b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n";
-            for _ in 0..20 {
-                let mut idle = std::net::TcpStream::connect(address).unwrap();
-                idle.write_all(health).unwrap();
-                while !front.lines.borrow().iter().any(|line| line.served.get()) {
-                    sleep(Duration::from_millis(5)).await;
-                }
-                assert!(idle.read(&mut [0; 1024]).unwrap() > 0);
-                // Both are heard of at once: the new connection, for which this one goes, and its request.
-                let _new = std::net::TcpStream::connect(address).unwrap();
-                idle.write_all(health).unwrap();
-                while front.lines.borrow().iter().any(|line| line.served.get()) {
-                    sleep(Duration::from_millis(5)).await;
-                }
-                assert_eq!(idle.read(&mut [0; 1024]).unwrap_or(0), 0);
-            }
-        });
-    }
-
-    /// What stands in the listener's line when the front closes is answered before it is closed.
-    #[rstest]
-    fn answers_the_last_in_line() {
-        actix_rt::Runtime::new().unwrap().block_on(async {
-            let front = front(9);
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let address = listener.local_addr().unwrap();
-            actix_rt::spawn(front.clone().run(listener));
-            sleep(Duration::from_millis(50)).await;
-            // Made and written to without a moment for the front to accept it.
-            let mut client = std::net::TcpStream::connect(address).unwrap();
-            client.write_all(b"GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
-            front.close().await;
-            client.set_nonblocking(true).unwrap();
-            let mut reply = [0; 12];
-            client.read_exact(&mut reply).unwrap();
-            assert_eq!(&reply, b"HTTP/1.1 503"); // it knows no node
-        });
-    }
-}
+mod tests;
--- a/crates/broker/src/nodes.rs
+++ b/crates/broker/src/nodes.rs
@@ -3,10 +3,13 @@
 use crate::frame::{BadFrame, CalledPart, Frames, FromNode, ToNode, is_text};
 use crate::limits::Limits;
 use barleydrum::{NodeId, PartId, PushEnd, PushNo};
-use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::StreamExt;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
+use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +17,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until, timeout};
-use tokio_util::codec::{FramedRead, FramedWrite};
+use tokio_util::codec::FramedRead;
 use tracing::{debug, warn};
 
 pub type PushId = (PartId, PushNo);
@@ -47,19 +50,14 @@
     written: Written,
 }
 
-enum Queued {
-    Call(Vec<CalledPart>),
-    GiveUp(Bytes),
-    Probe,
-}
-
 /// One connection to a node, from the first try to connect on.
 struct Line {
     node: NodeId,
     address: SocketAddr,
     /// Pushes that are out on it, by the id that the wire knows them by.
     out: RefCell<HashMap<Bytes, Out>>,
-    queue: RefCell<VecDeque<Queued>>,
+    /// What nothing was written of yet.
+    queue: RefCell<VecDeque<ToNode>>,
     /// An answer behind which more has come that is not known to be a frame yet.
     held: RefCell<Option<(PushId, PushEnd, Bytes)>>,
     /// What was given up on it and may still be answered, the newest last.
@@ -69,6 +67,10 @@
     /// So much was given up that not all of it is remembered.
     forgot: Cell<bool>,
     ring: Notify,
+    /// Rung when what was begun on it must not become whole.
+    cut: Notify,
+    /// It came up, and something was written on it.
+    kept: Cell<bool>,
     idle_since: Cell<Instant>,
     /// Since when the node owes the first word to what was written.
     unheard_since: Cell<Option<Instant>>,
@@ -151,6 +153,8 @@
         };
         let mut parts = Vec::with_capacity(call.len());
         for Sending { push, part } in call {
+            let before = line.out.borrow().get(&part.id).map(|out| out.push);
+            before.into_iter().for_each(|before| _ = self.take_back(before, PushEnd::NoConnection));
             let before = line.out.borrow_mut().insert(part.id.clone(), Out { push, written: Written::Not });
             // The same part again on one connection: what is heard from now on is the newer push's.
             if let Some(before) = before {
@@ -160,7 +164,7 @@
             self.pushes.borrow_mut().insert(push, (line.clone(), part.id.clone()));
             parts.push(part);
         }
-        line.queue.borrow_mut().push_back(Queued::Call(parts));
+        line.queue.borrow_mut().push_back(ToNode::Call(parts));
         line.ring.notify_one();
     }
 
@@ -168,7 +172,7 @@
     pub fn probe(self: &Rc<Self>, node: NodeId) {
         let Some(line) = self.line_for(node, 0) else { return self.tell(node, None) };
         line.probes.set(line.probes.get() + 1);
-        line.queue.borrow_mut().push_back(Queued::Probe);
+        line.queue.borrow_mut().push_back(ToNode::Probe);
         line.ring.notify_one();
     }
 
@@ -189,14 +193,31 @@
         if self.take_back(push, unsent) {
             return;
         }
-        line.queue.borrow_mut().push_back(Queued::GiveUp(id.clone()));
-        line.out.borrow_mut().remove(&id);
+        line.queue.borrow_mut().push_back(ToNode::GiveUp(id.clone()));
+        let out = line.out.borrow_mut().remove(&id);
+        if out.is_some_and(|out| out.written == Written::Partly) {
+            line.cut.notify_one();
+        }
         line.note_given_up(id, self.limits.late_answers);
         line.idle_since.set(Instant::now());
         line.ring.notify_one();
         self.end(push, end, None);
     }
 
+    /// What is not whole by now never gets whole. Guards against frames that a slow peer lets lie half written, which
+    /// would reach it in another window than the one that their pushes were counted in. Harm: what else is out on
+    /// that connection is dropped with it.
+    pub fn no_longer(&self, push: PushId) {
+        if self.take_back(push, PushEnd::NoConnection) {
+            return;
+        }
+        let pushes = self.pushes.borrow();
+        let Some((line, id)) = pushes.get(&push) else { return };
+        if line.out.borrow().get(id).is_some_and(|out| out.written == Written::Partly) {
+            line.cut.notify_one();
+        }
+    }
+
     /// Takes a push back of which no byte was written; tells whether that could be done. Guards against
     /// parts that lie in wait behind a connection that does not come up, or a peer that takes nothing,
     /// and go out after their retrieval's end, their node's drain, or the window that they were counted in.
@@ -207,7 +228,7 @@
         }
         line.out.borrow_mut().remove(&id);
         for queued in line.queue.borrow_mut().iter_mut() {
-            if let Queued::Call(parts) = queued {
+            if let ToNode::Call(parts) = queued {
                 parts.retain(|part| part.id != id);
             }
         }
@@ -273,6 +294,8 @@
             probes: Cell::default(),
             forgot: Cell::default(),
             ring: Notify::new(),
+            cut: Notify::new(),
+            kept: Cell::default(),
             idle_since: Cell::new(Instant::now()),
             unheard_since: Cell::default(),
             closing: Cell::new(false),
@@ -292,10 +315,17 @@
                 }
                 line.idle_since.set(Instant::now());
                 let (reading, writing) = stream.split();
+                let served = async {
+                    tokio::select! {
+                        spoilt = self.read(&line, reading) => spoilt,
+                        () = self.write(&line, writing) => false,
+                    }
+                };
                 spoilt = tokio::select! {
-                    spoilt = self.read(&line, reading) => spoilt,
-                    () = self.write(&line, writing) => false,
-                }
+                    biased;
+                    () = line.cut.notified() => false,
+                    spoilt = served => spoilt,
+                };
             }
             Ok(Err(e)) => debug!(node = %line.address, "no connection: {e}"),
             Err(_) => debug!(node = %line.address, "no connection in time"),
@@ -306,6 +336,7 @@
             lines.retain(|other| !Rc::ptr_eq(other, &line));
             !lines.is_empty()
         });
+        self.move_unwritten(&line);
         (0..line.probes.take()).for_each(|_| self.tell(line.node, None));
         let mut lost: Vec<Out> = line.out.take().into_values().collect();
         lost.sort_by_key(|out| out.push);
@@ -320,6 +351,26 @@
         }
     }
 
+    /// Guards against calls that meet the close of a connection at rest: nothing of them was written, so they go on
+    /// another, and prove nothing against their node. On a connection that never carried anything they end.
+    fn move_unwritten(self: &Rc<Self>, line: &Line) {
+        if !line.kept.get() {
+            return;
+        }
+        for queued in line.queue.take() {
+            let ToNode::Call(parts) = queued else { continue };
+            let taken = |part: CalledPart| {
+                let out = line.out.borrow_mut().remove(&part.id)?;
+                self.pushes.borrow_mut().remove(&out.push);
+                Some(Sending { push: out.push, part })
+            };
+            let call: Vec<Sending> = parts.into_iter().filter_map(taken).collect();
+            if !call.is_empty() {
+                self.send(line.node, call);
+            }
+        }
+    }
+
     /// Reads until the node ends the connection, or sends what can't be used: then nothing more that comes on
     /// it can be told apart, and what is out on it may have run. Tells whether that was so.
     async fn read(&self, line: &Line, reading: ReadHalf<'_>) -> bool {
@@ -405,48 +456,96 @@
         line.held.take().into_iter().for_each(|(push, ..)| self.end(push, PushEnd::Errored, None));
     }
 
-    /// Writes what is queued, until the peer takes nothing more or the connection has been idle too long.
+    /// Writes what is queued, until the peer takes nothing more or the connection has been idle too long. Nothing is
+    /// taken from the queue before the peer takes bytes: until then it can be taken back.
     async fn write(&self, line: &Line, writing: WriteHalf<'_>) {
-        let mut frames = FramedWrite::new(writing, Frames { most: self.limits.frame });
+        let mut bytes = BytesMut::new();
         loop {
-            let next = line.queue.borrow_mut().pop_front();
-            let (frame, ids) = match next {
-                Some(Queued::Call(parts)) if parts.is_empty() => continue,
-                Some(Queued::Call(parts)) => {
-                    let ids: Vec<Bytes> = parts.iter().map(|part| part.id.clone()).collect();
-                    (ToNode::Call(parts), ids)
+            if line.queue.borrow().is_empty() {
+                if !self.wait_for_work(line).await {
+                    return;
                 }
-                Some(Queued::GiveUp(id)) => (ToNode::GiveUp(id), Vec::new()),
-                Some(Queued::Probe) => (ToNode::Probe, Vec::new()),
-                None if line.out.borrow().is_empty() => {
-                    let until = line.idle_since.get() + self.limits.node_idle;
-                    if line.closing.get() || Instant::now() >= until {
-                        return line.closing.set(true);
-                    }
-                    tokio::select! {
-                        () = line.ring.notified() => {}
-                        () = sleep_until(until) => {}
-                    }
+                continue;
+            }
+            match timeout(self.limits.slow, writing.writable()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(e)) => return debug!(node = %line.address, "connection broke: {e}"),
+                Err(_) => return warn!(node = %line.address, "the node takes nothing"),
+            }
+            if line.kept.get() && line.out_is_unwritten() && has_ended(writing.as_ref()) {
+                return debug!(node = %line.address, "closed at rest");
+            }
+            let Some(frame) = line.queue.borrow_mut().pop_front() else { continue };
+            let ids = match &frame {
+                ToNode::Call(parts) if parts.is_empty() => continue,
+                ToNode::Call(parts) => parts.iter().map(|part| part.id.clone()).collect(),
+                ToNode::GiveUp(_) | ToNode::Probe => Vec::new(),
+            };
+            bytes.clear();
+            frame.encode(&mut bytes);
+            match writing.try_write(&bytes) {
+                Ok(count) => bytes.advance(count),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    line.queue.borrow_mut().push_front(frame);
                     continue;
                 }
-                None => {
-                    line.ring.notified().await;
-                    continue;
+                Err(e) => {
+                    line.queue.borrow_mut().push_front(frame);
+                    return debug!(node = %line.address, "connection broke: {e}");
                 }
-            };
+            }
+            line.kept.set(true);
             line.mark(&ids, Written::Partly);
-            match timeout(self.limits.slow, frames.send(frame)).await {
-                Ok(Ok(())) => {
-                    line.mark(&ids, Written::Whole);
-                    let since = line.unheard_since.get().unwrap_or_else(Instant::now);
-                    line.unheard_since.set((!ids.is_empty()).then_some(since).or(line.unheard_since.get()));
-                }
+            match timeout(self.limits.slow, write_rest(&writing, &mut bytes)).await {
+                Ok(Ok(())) => {}
                 Ok(Err(e)) => return debug!(node = %line.address, "connection broke: {e}"),
                 Err(_) => return warn!(node = %line.address, "the node takes nothing"),
             }
+            line.mark(&ids, Written::Whole);
+            if !ids.is_empty() {
+                line.unheard_since.set(line.unheard_since.get().or(Some(Instant::now())));
+            }
             line.idle_since.set(Instant::now());
         }
     }
+
+    /// Waits until something may be queued; false: the connection is to close.
+    async fn wait_for_work(&self, line: &Line) -> bool {
+        if !line.out.borrow().is_empty() {
+            line.ring.notified().await;
+            return true;
+        }
+        let until = line.idle_since.get() + self.limits.node_idle;
+        if line.closing.get() || Instant::now() >= until {
+            line.closing.set(true);
+            return false;
+        }
+        tokio::select! {
+            () = line.ring.notified() => {}
+            () = sleep_until(until) => {}
+        }
+        true
+    }
+}
+
+async fn write_rest(writing: &WriteHalf<'_>, bytes: &mut BytesMut) -> io::Result<()> {
+    while !bytes.is_empty() {
+        writing.writable().await?;
+        match writing.try_write(bytes) {
+            Ok(count) => bytes.advance(count),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// Whether the peer has ended a connection, asked of the system: word of it may not have come yet.
+fn has_ended(stream: &TcpStream) -> bool {
+    match SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]) {
+        Ok(count) => count == 0,
+        Err(e) => e.kind() != ErrorKind::WouldBlock,
+    }
 }
 
 impl Line {
@@ -471,6 +570,11 @@
         at.inspect(|at| _ = given_up.remove(*at)).is_some() || self.forgot.get()
     }
 
+    /// Nothing that was begun on it is out.
+    fn out_is_unwritten(&self) -> bool {
+        self.out.borrow().values().all(|out| out.written == Written::Not)
+    }
+
     fn is_silent(&self, longest: Duration) -> bool {
         self.unheard_since.get().is_some_and(|since| since.elapsed() > longest)
     }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -1,5 +1,6 @@
 //! The broker on loopback sockets, among stand-ins.
 
+mod crossings;
 mod stand_ins;
 
 use broker::Order;
