--- a/crates/broker/tests/sockets/crossings.rs
+++ b/crates/broker/tests/sockets/crossings.rs
@@ -5,6 +5,7 @@
 use super::stand_ins::*;
 use super::{BOTH, ONE};
 use barleydrum::{CallerNo, CategoryNo, ShardNo, Tenths};
+use broker::Order;
 use broker::desk::{Question, QuestionPart, Verdict};
 use bytes::Bytes;
 use rstest::rstest;
@@ -292,6 +293,44 @@
     stream.write_all((head + body).as_bytes()).await.unwrap();
 }
 
+/// Several calls wait at a silent agent. One of them fails in the moment in which another is answered: the answer is taken
+/// at once, not with the next call, by which the drain's grace may be over.
+#[rstest]
+#[case::fails_first(true)]
+#[case::answered_first(false)]
+fn an_answer_beside_a_failing_call_is_taken_at_once(#[case] fails_first: bool) {
+    play(async {
+        let agent = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let place = agent.local_addr().unwrap();
+        let beat = Duration::from_secs(3);
+        let waits = move |order: &mut Order| {
+            (order.discovery, order.limits.watch_anew, order.limits.list_within) = (place, beat, 3 * beat);
+        };
+        let stage = Stage::with(1, pushed, waits).await;
+        let body = list(2, &[member(&stage.nodes, 0, "ready")]).to_string();
+        let (mut first, _) = soon(agent.accept()).await.unwrap();
+        soon(first.read(&mut [0; 4096])).await.unwrap();
+        let (mut second, _) = soon(agent.accept()).await.unwrap();
+        soon(second.read(&mut [0; 4096])).await.unwrap();
+        let called = Instant::now();
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        SockRef::from(&first).set_linger(Some(Duration::ZERO)).unwrap();
+        // Both are written with no turn of the broker's between, one before the other in the system.
+        match fails_first {
+            true => {
+                drop(first);
+                second.try_write(head.as_bytes()).unwrap();
+            }
+            false => {
+                second.try_write(head.as_bytes()).unwrap();
+                drop(first);
+            }
+        }
+        until(|| stage.broker.desk.can_serve()).await;
+        assert!(called.elapsed() < beat, "only with the next call");
+    });
+}
+
 /// Answers that break off, that never end or that are too long are none: the old list holds, and all is asked for again.
 /// Without a length the end of the connection ends an answer, and a reset does not.
 #[rstest]
