--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -678,37 +678,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::limits::Machine;
-    use rstest::rstest;
-
-    /// A turn may push a part and end its retrieval: then the part stays unsent, and is told to.
-    #[rstest]
-    #[case(|retrieval, _| Effect::Scrap { retrieval })]
-    #[case(|retrieval, _| Effect::Answer { retrieval, whole: false })]
-    #[case(|_, part| Effect::Withdraw { part, push: PushNo(0) })]
-    fn what_ends_in_its_turn_is_not_sent(#[case] end: fn(RetrievalId, PartId) -> Effect) {
-        actix_rt::Runtime::new().unwrap().block_on(async {
-            let mut intake = Intake::default();
-            intake.prescription.limits.most_open = 10;
-            let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
-            let desk = Desk::new(intake, 1, Rc::new(limits), None, None);
-            let address = "127.0.0.1:9".parse().unwrap();
-            desk.nodes.listens(NodeId(1), Some(address), true);
-            let parts = vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }];
-            let (id, text) = (Bytes::from_static(b"a"), Bytes::new());
-            let (category, caller, until) = (CategoryNo(0), CallerNo(0), Instant::now());
-            let work = Tenths::ZERO;
-            let question = Question { id, category, caller, until, work, parts, text, holds: 0 };
-            let taken = desk.take(question).unwrap();
-            let part = *desk.book.borrow().parts.keys().next().unwrap();
-            desk.heard.take();
-            let push = Effect::Push { part, node: NodeId(1), time_out: Tenths(1000) };
-            desk.carry_out(Tenths(0), vec![push, end(taken.id, part)]);
-            let heard = desk.heard.take();
-            assert!(matches!(&heard[..], [Input::Outcome(o)] if o.end == PushEnd::NotSent), "{heard:?}");
-            assert!(desk.nodes.fetch_ended().is_empty());
-        });
-    }
-}
+mod tests;
