--- a/crates/broker/tests/sockets/crossings.rs
+++ b/crates/broker/tests/sockets/crossings.rs
@@ -172,11 +172,12 @@
 // ---- connections to nodes
 
 /// A node closes a connection at rest in the moment in which a call is put on it: nothing was written, so the call goes
-/// on another, also where it may run at most once.
+/// on another, also where it may run at most once and only one push is allowed.
 #[rstest]
 fn a_call_that_meets_the_close_of_a_resting_connection_goes_on_another() {
     play(async {
-        let mut stage = Stage::new(1).await;
+        let one_push = |c: &mut Value| c["settings"]["Limits"]["MaxAttempts"] = json!(1);
+        let mut stage = Stage::with(1, one_push, |_| ()).await;
         for round in 0..5 {
             let mut client = stage.ask("a", "lookup", ONE).await;
             let line = loop {
@@ -266,6 +267,62 @@
     });
 }
 
+/// A part that may have run is repeated only where its class may, and then only while its window is open when the last byte
+/// of the repeat has left, for which a connection may have to come up first (2 s here). The window is the settings' own.
+#[rstest]
+#[case::safe("idempotent", 0.0, true)]
+#[case::known_by_its_id("deduplicated", 5000.0, true)]
+#[case::window_shorter_than_the_way("deduplicated", 1500.0, false)]
+#[case::at_most_once("at_most_once", 5000.0, false)]
+fn repeats_as_the_settings_of_its_class_allow(
+    #[case] effect: &str,
+    #[case] window_ms: f64,
+    #[case] again: bool,
+) {
+    play(async {
+        let settings = |c: &mut Value| {
+            c["settings"]["Services"][1]["Effect"] = json!(effect);
+            c["settings"]["Services"][1]["DedupWindowMs"] = json!(window_ms);
+        };
+        let mut stage = Stage::with(2, settings, |_| ()).await;
+        let mut client = stage.ask("a", "lookup", ONE).await;
+        let (first, line, _) = stage.call().await;
+        stage.nodes[first].close(line);
+        if again {
+            let (second, line) = loop {
+                if let (node, line, Heard::Call(_)) = stage.next().await {
+                    break (node, line);
+                }
+            };
+            stage.nodes[second].end(line, "a.3", 'S', "v").await;
+        }
+        let status = client.reply().await.unwrap().status;
+        assert_eq!(status == 200, again, "{status}");
+        while let Ok((_, _, heard)) = stage.heard.try_recv() {
+            assert!(!matches!(heard, Heard::Call(_)), "sent once more");
+        }
+    });
+}
+
+/// A caller that only another deployment has is served, without a share of its own.
+#[rstest]
+fn serves_a_caller_that_the_settings_do_not_name() {
+    play(async {
+        let mut stage = Stage::with(
+            1,
+            |c| c["settings"]["Tenants"] = json!([{"Name": "ours", "Share": 1.0, "QuotaRps": 100.0}]),
+            |_| (),
+        )
+        .await;
+        let mut client = stage.client().await;
+        let text = request("a", "lookup", 9000, &body(ONE)).replace("Host:", "X-Account: theirs\r\nHost:");
+        client.write(&text).await;
+        let (node, line, _) = stage.call().await;
+        stage.nodes[node].end(line, "a.3", 'S', "v").await;
+        assert_eq!(client.reply().await.unwrap().status, 200);
+    });
+}
+
 // ---- the list
 
 /// What the agent has counts as told from the first moment of a process: nothing is sent by what was known before, though
