Versions keep the waits of sockets; nothing is taken once what is open was ended

`versions.rs`: a version from a control service brought back the settings' silence (50 s), undoing the cut to 6 s that 'start.rs' makes. `desk.rs`: a request that came in the last 50 ms, after `end_open`, could still be sent on and be lost with the process; it is declined now. A test for each; `watch_calls`, used in one line only, is no field.

--- a/crates/broker/src/desk.rs
+++ b/crates/broker/src/desk.rs
@@ -187,6 +187,8 @@
     wake_at: Cell<Option<Tenths>>,
     bell: Notify,
     ready: Cell<bool>,
+    /// The process ends: nothing is taken any more.
+    ended: Cell<bool>,
     /// Rung when the module wants the roll followed.
     pub roll_wanted: Notify,
 }
@@ -229,6 +231,7 @@
             wake_at: Cell::default(),
             bell: Notify::new(),
             ready: Cell::default(),
+            ended: Cell::default(),
             roll_wanted: Notify::new(),
         })
     }
@@ -292,7 +295,8 @@
         // Guards against wide retrievals that are all but answered and keep others out: a part that has its
         // value is no longer open, though its retrieval is.
         let held = book.retrievals.len() + book.lacking;
-        if held + question.parts.len() + 1 > edition.most_open || book.bytes + bytes > self.limits.held {
+        let full = self.ended.get() || held + question.parts.len() + 1 > edition.most_open;
+        if full || book.bytes + bytes > self.limits.held {
             edition
                 .count(|tally| (tally.ended, tally.turned_away) = (tally.ended + 1, tally.turned_away + 1));
             return Err(NotTaken::Full);
@@ -624,6 +628,7 @@
 
     /// The process ends: what is open gets its final word, failed. Tells how many there were.
     pub fn end_open(&self) -> usize {
+        self.ended.set(true);
         let open: Vec<RetrievalId> = self.book.borrow().retrievals.keys().copied().collect();
         for id in &open {
             self.tell(*id, |_| Verdict::Scrap);
--- a/crates/broker/src/desk/tests.rs
+++ b/crates/broker/src/desk/tests.rs
@@ -32,3 +32,28 @@
         assert!(desk.nodes.fetch_ended().is_empty());
     });
 }
+
+/// What comes once all that was open has been ended is turned away: sent on, it would be lost with the process.
+#[rstest]
+fn takes_nothing_once_it_ended() {
+    actix_rt::Runtime::new().unwrap().block_on(async {
+        let mut intake = Intake::default();
+        intake.prescription.limits.most_open = 10;
+        let limits = Limits::new(Machine { memory_mb: 192, sockets: 1024 }, &intake).unwrap();
+        let desk = Desk::new(intake, 1, Rc::new(limits), None, None);
+        let question = |id: &'static str| Question {
+            id: Bytes::from_static(id.as_bytes()),
+            category: CategoryNo(0),
+            caller: CallerNo(0),
+            until: Instant::now(),
+            work: Tenths::ZERO,
+            parts: vec![QuestionPart { shard: ShardNo(0), weight: 1.0 }],
+            text: Bytes::new(),
+            holds: 0,
+        };
+        let open = desk.take(question("a")).unwrap();
+        assert_eq!(desk.end_open(), 1);
+        assert!(matches!(open.verdict().await, Verdict::Scrap));
+        assert!(matches!(desk.take(question("b")), Err(NotTaken::Full)));
+    });
+}
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -74,7 +74,6 @@
     pub watch_slack: Duration,
     /// A silent agent is called anew after this, the earlier calls still waiting, but only so many of them.
     pub watch_anew: Duration,
-    pub watch_calls: u32,
     /// New connections keep coming for so long after the word to leave.
     pub last_moment: Duration,
     /// All that was taken has its answer so long after the word to leave.
@@ -175,7 +174,6 @@
             watch,
             watch_slack,
             watch_anew,
-            watch_calls,
             last_moment: Duration::from_millis(500),
             leave_within: span(longest.min(LONGEST_COUNTED)) + KILL_BEYOND - 2 * SOCKETS,
             last_answers: SOCKETS,
--- a/crates/broker/src/versions.rs
+++ b/crates/broker/src/versions.rs
@@ -46,7 +46,7 @@
         info!(number = version.number, digest = %version.digest, "version taken up again, as it was kept");
         let own = std::mem::replace(&mut order.intake, restored.runs.intake.clone());
         let (kept, own) = (&mut order.intake.prescription, own.prescription);
-        (kept.send_lag, kept.roll_on_request) = (own.send_lag, own.roll_on_request);
+        keep_waits(kept, &own);
     }
     let status = control.status.map(TcpListener::bind).transpose()?;
     let post = Post {
@@ -122,6 +122,12 @@
     }
 }
 
+/// What the start worked out for sockets holds in every version: a document has the settings' own figures.
+fn keep_waits(to: &mut Prescription, start: &Prescription) {
+    (to.send_lag, to.roll_on_request) = (start.send_lag, start.roll_on_request);
+    to.rules.ask_within = start.rules.ask_within;
+}
+
 /// Does at the desk what is asked. What is shown changes in the same step as what is taken under: nobody can
 /// see one without the other.
 async fn sit(desk: Rc<Desk>, start: Prescription, mut heard: mpsc::Receiver<Word>, shown: Arc<Shown>) {
@@ -129,7 +135,7 @@
         match word {
             Word::Prescribe { version, mut intake, done } => {
                 let p = &mut intake.prescription;
-                (p.send_lag, p.roll_on_request) = (start.send_lag, start.roll_on_request);
+                keep_waits(p, &start);
                 // Zones have the numbers of the start here, whatever order a version lists them in.
                 p.zone = start.zone;
                 desk.prescribe(Edition::new(&intake), intake.prescription);
@@ -192,3 +198,6 @@
     }
     ExitCode::SUCCESS
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/broker/src/versions/tests.rs
@@ -0,0 +1,18 @@
+//! What a new version leaves as it was worked out at the start.
+
+use super::*;
+use barleydrum::Tenths;
+use rstest::rstest;
+
+/// A document has the settings' silence; on sockets lists are asked for sooner, also after a version was taken.
+#[rstest]
+fn a_version_keeps_the_waits_of_sockets() {
+    let mut start =
+        Prescription { send_lag: Tenths(20_100), roll_on_request: true, ..Prescription::default() };
+    start.rules.ask_within = Tenths(60_000);
+    let mut version = Prescription::default();
+    version.rules.ask_within = Tenths(500_000);
+    keep_waits(&mut version, &start);
+    let kept = (version.send_lag, version.roll_on_request, version.rules.ask_within);
+    assert_eq!(kept, (Tenths(20_100), true, Tenths(60_000)));
+}
