--- a/crates/broker/tests/sockets/test_peers.rs
+++ b/crates/broker/tests/sockets/test_peers.rs
@@ -1,5 +1,6 @@
 //! A broker among the scripted peers of `node_emulator`, and the exchanges that tests share.
 
+use super::system_faults::SystemFaults;
 use broker::engine::{QueryRequest, RequestedShard};
 use broker::{Running, StartupConfig};
 use bytes::Bytes;
@@ -87,12 +88,17 @@
         FullListener { address, listener, fillers }
     }
 
-    /// Accepts what fills the queue, and then one more; what comes on that up to its end.
-    pub async fn read_after_fillers(self) -> Vec<u8> {
+    /// Accepts what fills the queue, and then one more.
+    pub async fn accept_after_fillers(self) -> TcpStream {
         for _ in self.fillers {
             within_timeout(self.listener.accept()).await.unwrap();
         }
-        let (mut connection, _) = within_timeout(self.listener.accept()).await.unwrap();
+        within_timeout(self.listener.accept()).await.unwrap().0
+    }
+
+    /// What comes on that up to its end.
+    pub async fn read_after_fillers(self) -> Vec<u8> {
+        let mut connection = self.accept_after_fillers().await;
         let mut received = Vec::new();
         within_timeout(connection.read_to_end(&mut received)).await.unwrap();
         received
@@ -240,12 +246,24 @@
 impl Process {
     /// With a config file, and a discovery that the environment names.
     pub fn start(config: &std::path::Path, discovery: &str) -> Process {
-        let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_shard-broker"))
-            .env("EDGE_CONFIG", config)
-            .env("EDGE_DISCOVERY", discovery)
-            .stderr(std::process::Stdio::piped())
-            .spawn()
-            .unwrap();
+        Process::spawn(&mut Process::command(config, discovery))
+    }
+
+    /// The same, whose system calls have these faults.
+    pub fn start_with_faults(config: &std::path::Path, discovery: &str, faults: &SystemFaults) -> Process {
+        let mut command = Process::command(config, discovery);
+        faults.preload(&mut command);
+        Process::spawn(&mut command)
+    }
+
+    fn command(config: &std::path::Path, discovery: &str) -> std::process::Command {
+        let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_shard-broker"));
+        command.env("EDGE_CONFIG", config).env("EDGE_DISCOVERY", discovery);
+        command
+    }
+
+    fn spawn(command: &mut std::process::Command) -> Process {
+        let mut child = command.stderr(std::process::Stdio::piped()).spawn().unwrap();
         let log = RefCell::new(std::io::BufReader::new(child.stderr.take().unwrap()));
         let mut process = Process { listens: SocketAddr::from(([127, 0, 0, 1], 0)), child, log };
         process.listens = process.wait_for_log("listen_address=").parse().unwrap();
--- /dev/null
+++ b/crates/broker/tests/sockets/wall_clock.rs
@@ -0,0 +1,102 @@
+//! The wall clock is stepped while the program runs.
+
+use super::system_faults::{Setting, SystemFaults};
+use super::test_peers::*;
+use node_emulator::{NodeServer, NodeSpec};
+use rstest::rstest;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const HOUR_MS: i64 = 3_600_000;
+/// The work of a shard request at the nodes.
+const WORK: Duration = Duration::from_millis(50);
+const CLIENTS: usize = 8;
+const WINDOW: Duration = Duration::from_secs(1);
+
+fn start_node() -> NodeServer {
+    NodeServer::start(NodeSpec { cores: 16, ..NodeSpec::default() }, |_, _| WORK.as_micros() as u64).unwrap()
+}
+
+fn wall_clock_ms() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as i64
+}
+
+/// Sends queries one after another until the time is up.
+async fn send_queries(broker: SocketAddr, client_number: usize, until: Instant) {
+    let mut client = Client::connect(broker).await;
+    let mut number = 0;
+    while Instant::now() < until {
+        number += 1;
+        let id = format!("{client_number}x{number}");
+        client.write(&query_request(&id, "lookup", 10_000, &body(ONE_SHARD))).await;
+        assert_eq!(client.reply_status().await, 200, "{id}");
+    }
+}
+
+async fn send_traffic(broker: SocketAddr, first_client: usize, duration: Duration) {
+    let until = Instant::now() + duration;
+    let clients = (first_client..first_client + CLIENTS).map(|number| send_queries(broker, number, until));
+    futures_util::future::join_all(clients).await;
+}
+
+/// Received within a window that begins when the first is.
+fn received_in_first_window(node: &NodeServer) -> usize {
+    let received = node.received();
+    let until = received.first().map(|first| first.at.0 + WINDOW.as_micros() as i64 / 100);
+    received.iter().filter(|request| Some(request.at.0) <= until).count()
+}
+
+/// A process with one warm node, whose clock is then stepped; a second node starts by the stepped clock.
+struct SteppedBroker {
+    process: Process,
+    nodes: [NodeServer; 2],
+    _discovery: Discovery,
+    _faults: SystemFaults,
+    _config: tempfile::NamedTempFile,
+}
+
+async fn start_and_step(step_ms: i64, warm_up_ms: f64) -> SteppedBroker {
+    let nodes = [start_node(), start_node()];
+    let mut discovery = Discovery::start().await;
+    let entry = |at: usize, up_since_ms: i64| {
+        json!({"id": format!("s-{at}"), "host_port": nodes[at].address.to_string(), "locality": "hall",
+            "flavor": "std", "cell": at, "phase": "ready", "size": 1.0, "up_since_ms": up_since_ms})
+    };
+    let mut text = config(&[], &discovery.address().to_string());
+    text["settings"]["Domain"]["Cells"] = json!(2);
+    text["settings"]["Domain"]["Reach"] = json!(2);
+    text["settings"]["Rules"]["WarmUpMs"] = json!(warm_up_ms);
+    let file = tempfile::NamedTempFile::new().unwrap();
+    std::fs::write(file.path(), text.to_string()).unwrap();
+    let faults = SystemFaults::new(1);
+    let process = Process::start_with_faults(file.path(), &discovery.address().to_string(), &faults);
+    assert_eq!(discovery.called().await, "/catalog/members");
+    discovery.reply(snapshot(1, &[entry(0, 0)]));
+    assert_eq!(discovery.called().await, "/catalog/members?after=1&wait_ms=4000");
+    // Latencies are known before the cold node comes.
+    send_traffic(process.listens, 0, WINDOW).await;
+    faults.set(Setting::ClockStepMs, step_ms);
+    let started = entry(1, wall_clock_ms() + step_ms);
+    discovery.reply(json!({"revision": 2, "complete": false, "members": [started]}));
+    // The next call tells that the list was taken in; whichever comes first, a time-out's or this.
+    within_timeout(async { while discovery.called().await != "/catalog/members?after=2&wait_ms=4000" {} })
+        .await;
+    SteppedBroker { process, nodes, _discovery: discovery, _faults: faults, _config: file }
+}
+
+/// Stepped back: the stamp of a node that starts then lies an hour in the past by the broker's own count, and
+/// the node is as cold as ever. What the settings allow it in the window: 3 times a fifth of it, in shard
+/// requests of mean work.
+#[rstest]
+fn a_clock_stepped_back_makes_no_cold_node_warm() {
+    run_test(async {
+        let stepped = start_and_step(-HOUR_MS, 17_000.0).await;
+        send_traffic(stepped.process.listens, CLIENTS, 2 * WINDOW).await;
+        let allowed = 3.0 * 0.2 * WINDOW.as_secs_f64() / WORK.as_secs_f64();
+        let bound = allowed + 3.0 * (allowed + 3.0).sqrt();
+        let received = received_in_first_window(&stepped.nodes[1]);
+        assert!(received as f64 <= bound, "{received} in its first second, {bound} are allowed");
+        assert!(received > 0);
+    });
+}
