Lists of 3,200 nodes are read, and a frame tells the time that is left as it leaves

Cause: (a) `Limits::max_body_bytes`, 64 KiB for a request, also bounded discovery's answers, so that a list of some 430 nodes or more was never used. (b) `timeout_ms` was worked out at the turn and written up to a connect time-out later, also when a batch went on to another connection. A shard request keeps the moment until which its broker waits, and the frame works out what is left as its first byte leaves; what has under a millisecond left is not sent, and says nothing of its node.

--- a/crates/broker/src/codec/to_node.rs
+++ b/crates/broker/src/codec/to_node.rs
@@ -2,6 +2,7 @@
 
 use super::LENGTH_BYTES;
 use bytes::{BufMut, Bytes, BytesMut};
+use tokio::time::Instant;
 
 const BATCH: u8 = b'1';
 const CANCEL: u8 = b'2';
@@ -14,8 +15,8 @@
     pub id: Bytes,
     /// The number of the shard to read.
     pub shard: u32,
-    /// How long the broker waits for the response, in milliseconds.
-    pub timeout_ms: u64,
+    /// Until when the broker waits for the response.
+    pub expires_at: Instant,
     /// What is asked of the shard.
     pub text: Bytes,
 }
@@ -32,14 +33,15 @@
 }
 
 impl ToNode {
-    /// Appends the whole frame, its length first.
-    pub fn encode(&self, buffer: &mut BytesMut) {
+    /// Appends the whole frame, its length first. `now`: the moment at which its first byte leaves, from which on
+    /// the time counts that it says is left.
+    pub fn encode(&self, now: Instant, buffer: &mut BytesMut) {
         let start = buffer.len();
         buffer.put_u32_le(0);
         match self {
             ToNode::Batch(shard_requests) => {
                 buffer.put_u8(BATCH);
-                shard_requests.iter().for_each(|shard_request| shard_request.encode(buffer));
+                shard_requests.iter().for_each(|shard_request| shard_request.encode(now, buffer));
             }
             ToNode::Probe => buffer.put_u8(PROBE),
             ToNode::Cancel(id) => {
@@ -53,10 +55,15 @@
 }
 
 impl ShardRequestMessage {
+    /// The time that is left, in whole milliseconds.
+    pub fn time_left_ms(&self, now: Instant) -> u64 {
+        self.expires_at.saturating_duration_since(now).as_millis() as u64
+    }
+
     /// Appends `ID SHARD d=TIMEOUT LENGTH`, a line feed, and the text.
-    fn encode(&self, buffer: &mut BytesMut) {
+    fn encode(&self, now: Instant, buffer: &mut BytesMut) {
         buffer.put_slice(&self.id);
-        let header = format!(" {} d={} {}\n", self.shard, self.timeout_ms, self.text.len());
+        let header = format!(" {} d={} {}\n", self.shard, self.time_left_ms(now), self.text.len());
         buffer.put_slice(header.as_bytes());
         buffer.put_slice(&self.text);
     }
--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -131,7 +131,7 @@
         if !response.status().is_success() {
             return Err(DiscoveryError::Status(response.status()));
         }
-        let body = Limited::new(response.into_body(), self.limits.max_body_bytes).collect().await;
+        let body = Limited::new(response.into_body(), self.limits.max_list_bytes).collect().await;
         let bytes = body.map_err(DiscoveryError::Body)?.to_bytes();
         serde_json::from_slice(&bytes).map_err(DiscoveryError::InvalidList)
     }
--- a/crates/broker/src/engine/dispatch.rs
+++ b/crates/broker/src/engine/dispatch.rs
@@ -5,7 +5,6 @@
 use super::query_table::NextAttempt;
 use super::{Engine, QueryOutcome};
 use crate::codec::ShardRequestMessage;
-use crate::limits::to_duration;
 use crate::node_pool::{AttemptId, AttemptToSend};
 use bytes::Bytes;
 use routing::{
@@ -90,9 +89,9 @@
             write_deadline: now + self.limits.attempt_write_timeout,
             times_out_at: now + timeout,
         };
+        let expires_at = self.clock.to_instant(attempt.times_out_at);
         self.attempts.borrow_mut().insert(id, attempt);
-        let timeout_ms = to_duration(timeout).as_millis().max(1) as u64;
-        let shard_request = ShardRequestMessage { id: wire_id, shard: shard.0, timeout_ms, text };
+        let shard_request = ShardRequestMessage { id: wire_id, shard: shard.0, expires_at, text };
         Some(AttemptToSend { attempt: id, shard_request })
     }
 
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -49,8 +49,10 @@
     pub max_held_bytes: usize,
     /// The head of a request.
     pub max_head_bytes: usize,
-    /// The body of a request, and that of an answer of discovery.
+    /// The body of a request.
     pub max_body_bytes: usize,
+    /// An endpoint list, as discovery sends it.
+    pub max_list_bytes: usize,
     /// The body of a request as it comes in chunks.
     pub max_chunked_body_bytes: usize,
     /// One frame to or from a node.
@@ -131,6 +133,14 @@
 const MAX_HEAD_BYTES: usize = 16 * KIB;
 /// The longest body; frames carry what bodies do, and have the same bound.
 const MAX_BODY_BYTES: usize = 64 * KIB;
+/// The largest fleet, in nodes.
+const MAX_NODES: usize = 3200;
+/// The longest entry of an endpoint list: four times what one takes in the protocol's form, for lists that are
+/// indented and for longer names.
+const MAX_LIST_ENTRY_BYTES: usize = 640;
+/// The share of the memory that a list may take while it is read. It comes out of the quarter that is left beside
+/// what traffic may hold.
+const LIST_MEMORY_SHARE: usize = 8;
 /// Room for the chunks' own lines beside the body that they carry.
 const MAX_CHUNKED_BODY_BYTES: usize = 4 * MAX_BODY_BYTES;
 /// A query holds its id once more for each of its shard requests, so it is kept short.
@@ -196,6 +206,7 @@
     idle_client_connections: usize,
     node_connections: usize,
     held_bytes: usize,
+    list_bytes: usize,
 }
 
 impl Capacity {
@@ -221,6 +232,7 @@
             idle_client_connections: (sockets / 5).min(from_clients / 2),
             node_connections: (for_peers / 3).min(max_buffers),
             held_bytes: quarter,
+            list_bytes: (MAX_NODES * MAX_LIST_ENTRY_BYTES).min(memory_mb * KIB * KIB / LIST_MEMORY_SHARE),
         })
     }
 }
@@ -311,6 +323,7 @@
             max_held_bytes: capacity.held_bytes,
             max_head_bytes: MAX_HEAD_BYTES,
             max_body_bytes: MAX_BODY_BYTES,
+            max_list_bytes: capacity.list_bytes,
             max_chunked_body_bytes: MAX_CHUNKED_BODY_BYTES,
             max_frame_bytes: MAX_BODY_BYTES,
             max_query_id_bytes: MAX_QUERY_ID_BYTES,
--- a/crates/broker/src/node_pool/connection_task.rs
+++ b/crates/broker/src/node_pool/connection_task.rs
@@ -49,7 +49,7 @@
         connection.mark_used_now();
         let (read_half, write_half) = stream.split();
         let reader = ConnectionReader::new(&self.pool, connection, read_half);
-        let writer = ConnectionWriter::new(&self.pool.limits, connection, write_half);
+        let writer = ConnectionWriter::new(&self.pool, connection, write_half);
         let loops = async {
             tokio::select! {
                 end = reader.run() => end,
--- a/crates/broker/src/node_pool/writer.rs
+++ b/crates/broker/src/node_pool/writer.rs
@@ -1,10 +1,11 @@
 //! Writes the frames that are queued on a connection.
 
+use super::NodePool;
 use super::connection::NodeConnection;
 use crate::codec::ToNode;
-use crate::limits::Limits;
 use crate::socket_peek::has_peer_closed;
 use bytes::{Buf, Bytes, BytesMut};
+use routing::AttemptOutcome;
 use std::io::{self, ErrorKind};
 use std::ops::ControlFlow::{self, Break, Continue};
 use tokio::net::tcp::WriteHalf;
@@ -15,7 +16,7 @@
 /// The write loop of one connection. Nothing is taken from the queue before the peer accepts bytes: until
 /// then it can be cancelled without a trace.
 pub(super) struct ConnectionWriter<'a> {
-    limits: &'a Limits,
+    pool: &'a NodePool,
     connection: &'a NodeConnection,
     stream: WriteHalf<'a>,
     /// What of the current frame is not written yet.
@@ -23,8 +24,8 @@
 }
 
 impl<'a> ConnectionWriter<'a> {
-    pub fn new(limits: &'a Limits, connection: &'a NodeConnection, stream: WriteHalf<'a>) -> Self {
-        ConnectionWriter { limits, connection, stream, buffer: BytesMut::new() }
+    pub fn new(pool: &'a NodePool, connection: &'a NodeConnection, stream: WriteHalf<'a>) -> Self {
+        ConnectionWriter { pool, connection, stream, buffer: BytesMut::new() }
     }
 
     /// Writes until the peer accepts no more, or the connection was idle for too long.
@@ -42,16 +43,18 @@
             debug!(node = %self.connection.address, "closed at rest");
             return Break(());
         }
-        let Some(frame) = self.connection.dequeue() else { return Continue(()) };
+        let Some(mut frame) = self.connection.dequeue() else { return Continue(()) };
+        let now = Instant::now();
+        self.end_expired(&mut frame, now);
         let wire_ids = match &frame {
-            // All its shard requests were cancelled.
+            // All its shard requests were cancelled, or have no time left.
             ToNode::Batch(shard_requests) if shard_requests.is_empty() => return Continue(()),
             ToNode::Batch(shard_requests) => {
                 shard_requests.iter().map(|shard_request| shard_request.id.clone()).collect()
             }
             ToNode::Cancel(_) | ToNode::Probe => Vec::new(),
         };
-        if self.begin_frame(frame)? {
+        if self.begin_frame(frame, now)? {
             self.finish_frame(&wire_ids).await?;
         }
         Continue(())
@@ -64,7 +67,7 @@
             connection.write_ready.notified().await;
             return Continue(());
         }
-        let idle_until = connection.last_used_at() + self.limits.node_idle_timeout;
+        let idle_until = connection.last_used_at() + self.pool.limits.node_idle_timeout;
         if connection.is_closing() || Instant::now() >= idle_until {
             connection.begin_closing();
             return Break(());
@@ -77,7 +80,7 @@
     }
 
     async fn wait_until_writable(&self) -> ControlFlow<()> {
-        let result = timeout(self.limits.node_write_timeout, self.stream.writable()).await;
+        let result = timeout(self.pool.limits.node_write_timeout, self.stream.writable()).await;
         self.check_progress(result)
     }
 
@@ -98,11 +101,24 @@
             && has_peer_closed(self.stream.as_ref())
     }
 
+    /// Takes out of a batch what has no time left: its node would work for nobody. It says nothing of the node,
+    /// whose connection is up.
+    fn end_expired(&self, frame: &mut ToNode, now: Instant) {
+        let ToNode::Batch(shard_requests) = frame else { return };
+        shard_requests.retain(|shard_request| {
+            let has_time_left = shard_request.time_left_ms(now) > 0;
+            if let Some(attempt) = self.connection.attempt_of(&shard_request.id).filter(|_| !has_time_left) {
+                self.pool.cancel_unwritten(attempt, AttemptOutcome::NotSent);
+            }
+            has_time_left
+        });
+    }
+
     /// Writes the first bytes of a frame. One of which nothing could be written goes back into the queue;
     /// `false`: the peer accepts nothing just now.
-    fn begin_frame(&mut self, frame: ToNode) -> ControlFlow<(), bool> {
+    fn begin_frame(&mut self, frame: ToNode, now: Instant) -> ControlFlow<(), bool> {
         self.buffer.clear();
-        frame.encode(&mut self.buffer);
+        frame.encode(now, &mut self.buffer);
         match self.stream.try_write(&self.buffer) {
             Ok(count) => {
                 self.buffer.advance(count);
@@ -123,7 +139,8 @@
     /// Writes what is left of a frame with these shard requests.
     async fn finish_frame(&mut self, wire_ids: &[Bytes]) -> ControlFlow<()> {
         self.connection.note_partial_write(wire_ids);
-        let result = timeout(self.limits.node_write_timeout, write_all(&self.stream, &mut self.buffer)).await;
+        let result =
+            timeout(self.pool.limits.node_write_timeout, write_all(&self.stream, &mut self.buffer)).await;
         self.check_progress(result)?;
         self.connection.note_complete_write(wire_ids);
         Continue(())
