Audit tests, failing: a wall clock stepped forward, and half a body in chunks

Measured: with the clock an hour ahead a node gets 11 of 144 shard requests after its warm-up of 1.5 s is over (a quarter is asked for); the connection of half a body in chunks is still open 5 s after it was begun.

--- a/crates/broker/tests/sockets/client_connections.rs
+++ b/crates/broker/tests/sockets/client_connections.rs
@@ -5,6 +5,8 @@
 use rstest::rstest;
 use serde_json::{Value, json};
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Queries and shard requests up to `MaxOpen`, connections up to the descriptors: beyond, it rejects.
 #[rstest]
@@ -187,3 +189,29 @@
         assert_eq!(client.reply_status().await, 400);
     });
 }
+
+/// A body in chunks that stops half-way: its client gets its error, and the connection is closed, though the client
+/// stays and sends nothing more.
+#[rstest]
+fn closes_the_connection_of_half_a_chunked_body() {
+    run_test(async {
+        let cluster = TestCluster::start_with(
+            1,
+            |_| (),
+            |startup| {
+                startup.limits.client_io_timeout = Duration::from_millis(200);
+            },
+        )
+        .await;
+        let head = query_request("a", "lookup", 10_000, "");
+        let head = head.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        for part in ["", "40\r\n{\"slices\"", "1\r\n{\r\n"] {
+            let mut client = TcpStream::connect(cluster.broker.listens).await.unwrap();
+            client.write_all(format!("{head}{part}").as_bytes()).await.unwrap();
+            let mut text = String::new();
+            let read = tokio::time::timeout(Duration::from_secs(5), client.read_to_string(&mut text)).await;
+            read.expect("it stays open").expect("a reset");
+            assert!(text.starts_with("HTTP/1.1 408"), "{text}");
+        }
+    });
+}
--- a/crates/broker/tests/sockets/wall_clock.rs
+++ b/crates/broker/tests/sockets/wall_clock.rs
@@ -100,3 +100,16 @@
         assert!(received > 0);
     });
 }
+
+/// Stepped forward: the stamp lies an hour ahead, and the node is warm all the same once its warm-up is over.
+#[rstest]
+fn a_clock_stepped_forward_keeps_no_node_cold() {
+    run_test(async {
+        let stepped = start_and_step(HOUR_MS, 1500.0).await;
+        send_traffic(stepped.process.listens, CLIENTS, 2 * WINDOW).await;
+        let before = stepped.nodes.each_ref().map(|node| node.received().len());
+        send_traffic(stepped.process.listens, 2 * CLIENTS, WINDOW).await;
+        let [warm, new] = [0, 1].map(|at| stepped.nodes[at].received().len() - before[at]);
+        assert!(4 * new >= warm + new, "{new} of {} after its warm-up", warm + new);
+    });
+}
