A node's age is monotonic since it was heard of, and half a body holds no connection

In the first list after the broker's start a start time is believed by that; from then on no process is older than the moment it was first heard of, and start times only tell one process from the next, also where they go backward.

--- a/crates/admission-control/tests/controller.rs
+++ b/crates/admission-control/tests/controller.rs
@@ -189,6 +189,7 @@
     let config = broker_config(&[]);
     let endpoint_list = EndpointList {
         kind: EndpointListKind::Snapshot,
+        wall_clock: Tenths(0),
         entries: (0..2)
             .map(|node| Endpoint {
                 node: NodeId(node),
--- a/crates/broker-bench/src/simulation/nodes.rs
+++ b/crates/broker-bench/src/simulation/nodes.rs
@@ -176,7 +176,7 @@
         self.published[node] = PublishedState { state: endpoint.state, at: self.now };
         for broker in 0..self.brokers.len() {
             let entries = [endpoint.clone()].into();
-            let delta = EndpointList { kind: EndpointListKind::Delta, entries };
+            let delta = EndpointList { kind: EndpointListKind::Delta, wall_clock: self.now, entries };
             self.notify_broker(broker, Input::EndpointList(delta));
         }
     }
@@ -191,7 +191,8 @@
                 *published = PublishedState { state, at: self.now };
             }
         }
-        let snapshot = EndpointList { kind: EndpointListKind::Snapshot, entries: entries.into() };
+        let (kind, wall_clock) = (EndpointListKind::Snapshot, self.now);
+        let snapshot = EndpointList { kind, wall_clock, entries: entries.into() };
         self.notify_broker(broker, Input::EndpointList(snapshot));
     }
 }
--- a/crates/broker/src/engine/clock.rs
+++ b/crates/broker/src/engine/clock.rs
@@ -8,21 +8,32 @@
 /// The length of one tenth of a millisecond, the unit of [`Tenths`].
 const MICROS_PER_TENTH: u128 = 100;
 
-/// Counts Unix time from one reading of the system's clock, and only ever forward.
-///
-/// Discovery gives the nodes' start times in Unix time, so the routing decisions count in it as well.
+/// Counts from one reading of the system's wall clock, and only ever forward: spans of time are monotonic, however
+/// the wall clock is stepped.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct BrokerClock {
     started: Instant,
     started_unix: Tenths,
+    /// A simulation has set the start, and no other clock counts.
+    is_simulated: bool,
 }
 
 impl BrokerClock {
     /// Starts at `started_unix`, or at the system's time where there is none.
     pub(super) fn start(started_unix: Option<Tenths>) -> BrokerClock {
-        let system = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let started_unix = started_unix.unwrap_or(Tenths((system.as_micros() / MICROS_PER_TENTH) as i64));
-        BrokerClock { started: Instant::now(), started_unix }
+        BrokerClock {
+            started: Instant::now(),
+            started_unix: started_unix.unwrap_or_else(system_time),
+            is_simulated: started_unix.is_some(),
+        }
+    }
+
+    /// What the system's wall clock shows now. Nodes' start times are given by it; no span is measured by it.
+    pub(super) fn wall_clock(self) -> Tenths {
+        match self.is_simulated {
+            true => self.now(),
+            false => system_time(),
+        }
     }
 
     /// The time at which the clock was started.
@@ -46,3 +57,8 @@
         self.started + to_duration(at - self.started_unix)
     }
 }
+
+fn system_time() -> Tenths {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Tenths((since_epoch.as_micros() / MICROS_PER_TENTH) as i64)
+}
--- a/crates/broker/src/engine/endpoints.rs
+++ b/crates/broker/src/engine/endpoints.rs
@@ -21,7 +21,8 @@
         }
         let entries: Vec<Endpoint> =
             list.nodes.into_iter().map(|listed| self.update_endpoint(&mut ids, listed)).collect();
-        self.push_input(Input::EndpointList(EndpointList { kind, entries: entries.into() }));
+        let wall_clock = self.clock.wall_clock();
+        self.push_input(Input::EndpointList(EndpointList { kind, wall_clock, entries: entries.into() }));
     }
 
     fn update_endpoint(&self, ids: &mut IdRegistry, listed: ListedNode) -> Endpoint {
--- a/crates/broker/src/http_server/closing.rs
+++ b/crates/broker/src/http_server/closing.rs
@@ -38,17 +38,21 @@
         }
     }
 
-    /// Guards against clients that hold their connections: that send or take a byte now and then, or that
-    /// send nothing at all from the start.
+    /// Guards against clients that hold their connections: that send or take a byte now and then, that send
+    /// nothing at all from the start, or that never send the rest of a body whose response they have.
     pub(super) fn close_slow(&self) {
-        let (now, slow_after) = (Instant::now(), self.query_handler.limits.client_io_timeout);
+        let limits = &self.query_handler.limits;
+        let (now, slow_after) = (Instant::now(), limits.client_io_timeout);
         let is_late = |since: Option<Instant>| since.is_some_and(|since| now - since > slow_after);
+        let is_body_late =
+            |since: Option<Instant>| since.is_some_and(|since| now - since > limits.unread_body_timeout);
         for connection in self.connections.borrow().iter() {
             let is_silent = !connection.has_served_request.get() && connection.is_idle();
             if is_late(connection.reading_since()) {
                 connection.request_close(Some(StatusCode::REQUEST_TIMEOUT));
             } else if is_late(connection.write_blocked_since())
                 || is_silent && is_late(Some(connection.last_used_at()))
+                || is_body_late(connection.awaiting_unread_body_since())
             {
                 connection.request_close(None);
             }
--- a/crates/broker/src/http_server/connection.rs
+++ b/crates/broker/src/http_server/connection.rs
@@ -24,6 +24,8 @@
         must_drain_input: bool,
         /// Since when input that follows the last request has been in hand.
         reading_since: Option<Instant>,
+        /// Since when the last response has been there.
+        since: Instant,
     },
 }
 
@@ -32,8 +34,9 @@
     fn after_read(self, now: Instant) -> ConnectionState {
         match self {
             ConnectionState::Idle => ConnectionState::ReadingRequest { since: now },
-            ConnectionState::Closing { must_drain_input, reading_since } => {
-                ConnectionState::Closing { must_drain_input, reading_since: reading_since.or(Some(now)) }
+            ConnectionState::Closing { must_drain_input, reading_since, since } => {
+                let reading_since = reading_since.or(Some(now));
+                ConnectionState::Closing { must_drain_input, reading_since, since }
             }
             ConnectionState::ReadingRequest { .. } | ConnectionState::HandlingRequest { .. } => self,
         }
@@ -126,6 +129,16 @@
         matches!(self.state.get(), ConnectionState::Closing { must_drain_input: true, .. })
     }
 
+    /// Since when the HTTP library has waited for the rest of a body whose response is written.
+    pub fn awaiting_unread_body_since(&self) -> Option<Instant> {
+        match self.state.get() {
+            ConnectionState::Closing { must_drain_input: false, since, .. } => {
+                self.write_blocked_since.get().is_none().then_some(since)
+            }
+            _ => None,
+        }
+    }
+
     /// Since when input that is not yet a request has been in hand.
     pub fn reading_since(&self) -> Option<Instant> {
         self.state.get().reading_since()
@@ -232,7 +245,8 @@
 
     /// The request has its response, which is the connection's last.
     pub fn finish_and_close(self, must_drain_input: bool) {
-        self.connection.state.set(ConnectionState::Closing { must_drain_input, reading_since: None });
+        let since = Instant::now();
+        self.connection.state.set(ConnectionState::Closing { must_drain_input, reading_since: None, since });
     }
 }
 
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -86,6 +86,8 @@
     pub new_connection_grace: Duration,
     /// What still comes after the last response is read and dropped for so long.
     pub linger_timeout: Duration,
+    /// The rest of a body is waited for so long after the response to its request.
+    pub unread_body_timeout: Duration,
     /// How much of it is read.
     pub max_linger_bytes: usize,
     /// Bad requests in a row after which a connection is closed.
@@ -165,6 +167,8 @@
 const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(100);
 /// Closing over unread bytes resets the connection, which may destroy the response: some are read first.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
+/// A client that stops in the middle of a body is answered after [`CLIENT_IO_TIMEOUT`], and gone in 3 s.
+const UNREAD_BODY_TIMEOUT: Duration = Duration::from_millis(500);
 /// As much as the longest body in chunks.
 const MAX_LINGER_BYTES: usize = MAX_CHUNKED_BODY_BYTES;
 /// Bounds the work for a client that only sends bad requests.
@@ -340,6 +344,7 @@
             client_io_timeout: CLIENT_IO_TIMEOUT,
             new_connection_grace: NEW_CONNECTION_GRACE,
             linger_timeout: LINGER_TIMEOUT,
+            unread_body_timeout: UNREAD_BODY_TIMEOUT,
             max_linger_bytes: MAX_LINGER_BYTES,
             max_consecutive_bad_requests: MAX_CONSECUTIVE_BAD_REQUESTS,
             keep_alive_timeout: KEEP_ALIVE_TIMEOUT,
--- a/crates/broker/tests/limits.rs
+++ b/crates/broker/tests/limits.rs
@@ -43,3 +43,12 @@
     assert!(answered < Duration::from_millis(kill_ms));
     assert!(answered + Duration::from_millis(100) >= Duration::from_millis(kill_ms));
 }
+
+/// A client that stops in the middle of a request has its error, and its connection is closed, within the 3 s that
+/// the pages grant, also where each of the checks comes as late as it may.
+#[rstest]
+fn bad_clients_are_gone_within_three_seconds() {
+    let limits = Limits::new(MACHINE, &BrokerSettings::default()).unwrap();
+    let closed = limits.client_io_timeout + limits.unread_body_timeout + limits.sweep_interval;
+    assert!(closed < Duration::from_secs(3));
+}
--- a/crates/routing/src/broker.rs
+++ b/crates/routing/src/broker.rs
@@ -68,7 +68,7 @@
 
     fn handle(&mut self, input: &Input) {
         match input {
-            Input::EndpointList(list) => self.state.apply_endpoint_list(list),
+            Input::EndpointList(list) => self.take_endpoint_list(list),
             Input::EndpointListFailed => self.endpoint_list_failed(),
             Input::Config(config) => self.reconfigure((**config).clone()),
             Input::Query(query) => self.accept(query),
--- a/crates/routing/src/inputs.rs
+++ b/crates/routing/src/inputs.rs
@@ -42,6 +42,9 @@
 pub struct EndpointList {
     /// What the list covers.
     pub kind: EndpointListKind,
+    /// What the wall clock showed as the list came, by which the nodes' start times were taken. It may be stepped at
+    /// any time.
+    pub wall_clock: Tenths,
     /// The nodes; shared, as many brokers of a simulation may hold one list.
     pub entries: Arc<[Endpoint]>,
 }
@@ -68,7 +71,7 @@
     pub placement_group: PlacementGroupId,
     /// Whether it may be sent to.
     pub state: EndpointState,
-    /// When its process last started; none: long ago.
+    /// When its process last started, by the wall clock of its machine; none: long ago.
     pub started_at: Option<Tenths>,
 }
 
--- a/crates/routing/src/policy/endpoints.rs
+++ b/crates/routing/src/policy/endpoints.rs
@@ -6,6 +6,12 @@
 const MAX_DOUBLINGS: u32 = 3;
 
 impl Broker {
+    /// Takes an endpoint list in.
+    pub(crate) fn take_endpoint_list(&mut self, list: &EndpointList) {
+        let presumed_start = self.presumed_start(list);
+        self.state.apply_endpoint_list(list, presumed_start);
+    }
+
     /// Watches the endpoint list, and asks once more later where no word has come at all.
     pub(crate) fn watch_endpoints(&mut self) {
         if self.state.endpoint_list_is_stale {
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -19,7 +19,7 @@
 use crate::effective_config::{ClassPolicy, EffectiveConfig};
 use crate::effects::Effect;
 use crate::ids::NodeId;
-use crate::inputs::{AttemptOutcome, AttemptResult};
+use crate::inputs::{AttemptOutcome, AttemptResult, EndpointList};
 use crate::state::{AttemptId, ConnectionAfterIdle, ConnectionUse, Execution, InFlightAttempt};
 use crate::state::{NewAttempt, Node, Query, QueryEvent, QueryState, ShardRequest};
 use crate::state::{ShardRequestState, SupersededConfig, Timer};
--- a/crates/routing/src/policy/slow_start.rs
+++ b/crates/routing/src/policy/slow_start.rs
@@ -6,6 +6,18 @@
 const DEVIATIONS: f64 = 3.0;
 
 impl Broker {
+    /// When a process is taken to have started that an endpoint list tells of for the first time, by the start time
+    /// that it gives. That comes from another machine's wall clock, and either clock may be stepped: it is believed only where nothing
+    /// better can be known, in the first list after this broker's own start. From then on no process is older than
+    /// the moment at which it was first heard of. Harm: it warms up later by as much as the list was late.
+    pub(super) fn presumed_start(&self, list: &EndpointList) -> impl Fn(Tenths) -> Tenths + use<> {
+        let (now, has_list, wall_clock) = (self.state.now, self.state.has_endpoint_list, list.wall_clock);
+        move |listed_start| match has_list {
+            true => now,
+            false => now - (wall_clock - listed_start).max(Tenths::ZERO),
+        }
+    }
+
     pub(super) fn is_warming_up(&self, id: NodeId) -> bool {
         let periods = self.binding_configs().map(|config| config.broker.rules.warm_up_period);
         let warm_up_period = periods.max().unwrap_or_default();
--- a/crates/routing/src/state/broker.rs
+++ b/crates/routing/src/state/broker.rs
@@ -120,6 +120,8 @@
     pub(crate) zones: BTreeMap<ZoneId, ZoneLatency>,
     pub(crate) nodes_with_open_batch: Vec<NodeId>,
     pub(crate) last_batch: BatchId,
+    /// Discovery has given an endpoint list since the start.
+    pub(crate) has_endpoint_list: bool,
     /// No word of the endpoint list has come since it was last asked for.
     pub(crate) endpoint_list_is_stale: bool,
     pub(crate) endpoint_list_failures: u32,
--- a/crates/routing/src/state/node.rs
+++ b/crates/routing/src/state/node.rs
@@ -45,6 +45,9 @@
     pub(crate) zone: ZoneId,
     pub(crate) placement_group: PlacementGroupId,
     pub(crate) state: EndpointState,
+    /// The start time that the endpoint list gave last: it tells one process from the next, and nothing else.
+    pub(crate) listed_start: Option<Tenths>,
+    /// When its process is taken to have started, by this broker's own clock; none: long ago.
     pub(crate) started_at: Option<Tenths>,
     /// When this broker learned of that start.
     pub(crate) start_known_at: Tenths,
--- a/crates/routing/src/state/node_table.rs
+++ b/crates/routing/src/state/node_table.rs
@@ -98,8 +98,12 @@
     }
 
     /// Takes an endpoint list in. Where a new process runs under an old id, nothing known of the old one
-    /// holds.
-    pub(crate) fn apply_endpoint_list(&mut self, list: &EndpointList) {
+    /// holds. `presumed_start`: when a process is taken to have started, by the start time that the list gives.
+    pub(crate) fn apply_endpoint_list(
+        &mut self,
+        list: &EndpointList,
+        presumed_start: impl Fn(Tenths) -> Tenths,
+    ) {
         if list.kind != EndpointListKind::Cached {
             self.endpoint_list_failures = 0;
             self.endpoint_list_is_stale = false;
@@ -107,28 +111,31 @@
         if list.kind != EndpointListKind::Delta {
             self.remove_unlisted(list);
         }
-        let is_restarted = |endpoint: &&Endpoint| self.apply_endpoint(endpoint);
+        let is_restarted = |endpoint: &&Endpoint| self.apply_endpoint(endpoint, &presumed_start);
         let restarted: Vec<&Endpoint> = list.entries.iter().filter(is_restarted).collect();
         for endpoint in restarted {
             self.update_node(endpoint.node, Node::forget_process);
         }
+        self.has_endpoint_list |= list.kind != EndpointListKind::Cached;
     }
 
-    /// Takes in what the list says of a node; tells whether its process is newer than the one known.
-    fn apply_endpoint(&mut self, endpoint: &Endpoint) -> bool {
+    /// Takes in what the list says of a node; tells whether its process is another than the one known. Guards
+    /// against start times that go backward: a clock that was stepped gives a later process an earlier one.
+    fn apply_endpoint(&mut self, endpoint: &Endpoint, presumed_start: impl Fn(Tenths) -> Tenths) -> bool {
         self.nodes.entry(endpoint.node).or_default();
-        let (mut is_newer, now) = (false, self.now);
+        let (mut is_another, now) = (false, self.now);
         self.update_node(endpoint.node, |node| {
-            is_newer = endpoint.started_at > node.started_at;
-            if is_newer {
+            is_another = endpoint.started_at.is_some() && endpoint.started_at != node.listed_start;
+            if is_another {
                 node.start_known_at = now;
+                node.listed_start = endpoint.started_at;
+                node.started_at = node.started_at.max(endpoint.started_at.map(&presumed_start));
             }
-            node.started_at = node.started_at.max(endpoint.started_at);
             node.zone = endpoint.zone;
             node.placement_group = endpoint.placement_group;
             node.state = endpoint.state;
         });
-        is_newer
+        is_another
     }
 
     /// What a snapshot does not name is removed.
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -220,7 +220,7 @@
                     let zone = ZoneId(fields.next().map_or(0, |zone| zone.parse().unwrap()));
                     Endpoint { node, zone, placement_group, state, started_at }
                 });
-                Input::EndpointList(EndpointList { kind, entries: entries.collect() })
+                Input::EndpointList(EndpointList { kind, wall_clock: self.now, entries: entries.collect() })
             }
             "query" => {
                 let (query_id, group) = (QueryId(id(words[1])), GroupId(id(words[1]) as u32));
--- a/crates/simulator-adapter/src/broker_host.rs
+++ b/crates/simulator-adapter/src/broker_host.rs
@@ -72,7 +72,7 @@
                 self.endpoint_lists.insert(number, endpoints.into());
             }
             BatchEvent::ListArrived { broker, number, form } => {
-                let input = self.list_input(number, form)?;
+                let input = self.list_input(now, number, form)?;
                 self.add_input(inputs, broker, input)?;
             }
             BatchEvent::ProbeEnded { broker, node, is_healthy, load_values } => {
@@ -108,7 +108,7 @@
         Ok(())
     }
 
-    fn list_input(&self, number: u16, form: u8) -> Result<Input, BatchError> {
+    fn list_input(&self, now: Tenths, number: u16, form: u8) -> Result<Input, BatchError> {
         let kind = match form {
             0 => EndpointListKind::Delta,
             1 => EndpointListKind::Snapshot,
@@ -117,7 +117,7 @@
             other => return Err(BatchError::UnknownListForm(other)),
         };
         let entries = self.endpoint_lists.get(&number).ok_or(BatchError::MissingList(number))?.clone();
-        Ok(Input::EndpointList(EndpointList { kind, entries }))
+        Ok(Input::EndpointList(EndpointList { kind, wall_clock: now, entries }))
     }
 
     fn probe_input(&self, broker: u16, node: NodeId, is_healthy: bool, load_values: Vec<f32>) -> Input {
