--- a/crates/broker/tests/sockets/system_faults.rs
+++ b/crates/broker/tests/sockets/system_faults.rs
@@ -6,6 +6,7 @@
 
 pub use control::Setting;
 use control::{CONTROL_BYTES, CONTROL_VARIABLE};
+use std::fs::File;
 use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
 use std::process::Command;
@@ -31,6 +32,20 @@
         self.control.as_file().write_all_at(&value.to_le_bytes(), setting.offset() as u64).unwrap();
     }
 
+    /// One call in so many fails with this errno.
+    pub fn fail(&self, one_in: Setting, errno: Setting, chance: i64, error: i32) {
+        self.set(errno, i64::from(error));
+        self.set(one_in, chance);
+    }
+
+    /// How many calls were made fail, be interrupted or be short.
+    pub fn injected(&self) -> i64 {
+        let mut bytes = [0; 8];
+        let file = File::open(self.control.path()).unwrap();
+        file.read_exact_at(&mut bytes, Setting::InjectedFaults.offset() as u64).unwrap();
+        i64::from_le_bytes(bytes)
+    }
+
     /// Preloads the library into a process that is about to be started.
     pub fn preload(&self, command: &mut Command) {
         command.env("LD_PRELOAD", library()).env(CONTROL_VARIABLE, self.control.path());
