Interrupted calls are made again, and a shortage of this machine's own blames no node

Cause: (d) reads, writes and peeks took EINTR for a broken connection, to clients, nodes and discovery. (e) a socket or connect that failed for want of a descriptor, a port or a way out ended as ConnectFailed: the node was blamed, and after two of them taken to have started anew and to be cold. Change: one table of errors (`io_errors.rs`), read where an error comes up; streams that go on where they are interrupted; a connection is tried for again while this machine lacks something, and then ends as LocalShortage, which is no attempt: not counted against the attempts or the budget, sent again, and silent on the node. While accepting fails the server goes on closing slow clients and hears of the shutdown; what waits in the listener's queue then outlasts an error. Admission control's own table of outcomes is gone: routing says which outcomes tell of load.

--- a/crates/admission-control/src/lib.rs
+++ b/crates/admission-control/src/lib.rs
@@ -40,7 +40,6 @@
 mod load_statistics;
 mod mode;
 mod offered_query;
-mod outcomes;
 mod rules;
 mod tenants;
 mod token_bucket;
--- a/crates/admission-control/src/load_statistics.rs
+++ b/crates/admission-control/src/load_statistics.rs
@@ -1,7 +1,6 @@
 //! What the nodes and the broker did of late: losses, rejections, and the shard requests that were served.
 
 use crate::mode::Window;
-use crate::outcomes::counted_rule;
 use routing::{AttemptOutcome, AttemptResult, Effect, Tenths};
 
 /// The loss ratio is judged over this share of the window: what the last steps found, not the whole window's
@@ -38,8 +37,8 @@
 
     /// Counts an attempt that ended.
     pub fn record_result(&mut self, now: Tenths, result: &AttemptResult) {
-        if let Some(rule) = counted_rule(result.outcome) {
-            let lost = if rule.is_loss { 1.0 } else { 0.0 };
+        if result.outcome.tells_of_load() {
+            let lost = if result.outcome.is_overload() { 1.0 } else { 0.0 };
             self.losses.count(now, self.loss_window(), lost, 1.0);
         }
         if result.outcome == AttemptOutcome::Succeeded {
--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -1,16 +1,18 @@
 //! Asks discovery for the endpoint list and watches its changes.
 
+mod connector;
 mod error;
 
 use crate::endpoint_list::NodeList;
 use crate::engine::Engine;
 use crate::limits::Limits;
 use bytes::Bytes;
+use connector::DiscoveryConnector;
 use error::DiscoveryError;
 use futures_util::stream::FuturesUnordered;
 use futures_util::{FutureExt, StreamExt};
 use http_body_util::{BodyExt, Empty, Limited};
-use hyper_util::client::legacy::{self, connect::HttpConnector};
+use hyper_util::client::legacy;
 use hyper_util::rt::TokioExecutor;
 use routing::EndpointListKind;
 use std::convert::Infallible;
@@ -22,7 +24,7 @@
 use tracing::warn;
 
 /// Keeps its connections; reads a response without a length up to its end, and takes no reset for one.
-type HttpClient = legacy::Client<HttpConnector, Empty<Bytes>>;
+type HttpClient = legacy::Client<DiscoveryConnector, Empty<Bytes>>;
 
 /// Each time that the engine asks for it, watches the endpoint list until a request fails, and says so. Where
 /// discovery has moved, the old watch is dropped and the new address is asked for all nodes at once. An agent
@@ -33,7 +35,7 @@
     limits: Rc<Limits>,
     mut discovery: watch::Receiver<SocketAddr>,
 ) {
-    let client = legacy::Client::builder(TokioExecutor::new()).build_http();
+    let client = legacy::Client::builder(TokioExecutor::new()).build(DiscoveryConnector);
     let watcher = EndpointWatcher { engine, limits, client };
     loop {
         tokio::select! {
--- a/crates/broker/src/http_server/closing.rs
+++ b/crates/broker/src/http_server/closing.rs
@@ -3,6 +3,7 @@
 
 use super::HttpServer;
 use super::connection::Connection;
+use crate::interrupt_safe::InterruptSafe;
 use crate::query_handler::RequestError;
 use actix_http::StatusCode;
 use std::io;
@@ -82,7 +83,8 @@
 
     /// Writes a last response if there is one, and takes in what still comes, within bounds: closing before
     /// that would reset the connection, and might destroy what was written.
-    pub(super) async fn linger(&self, mut stream: TcpStream, closing_status: Option<StatusCode>) {
+    pub(super) async fn linger(&self, stream: TcpStream, closing_status: Option<StatusCode>) {
+        let mut stream = InterruptSafe(stream);
         let limits = &self.query_handler.limits;
         let lingering = async {
             if let Some(status) = closing_status {
@@ -98,7 +100,7 @@
     }
 }
 
-async fn write_empty_response(stream: &mut TcpStream, status: StatusCode) -> io::Result<()> {
+async fn write_empty_response(stream: &mut InterruptSafe<TcpStream>, status: StatusCode) -> io::Result<()> {
     let head = format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
     stream.write_all(head.as_bytes()).await
 }
--- a/crates/broker/src/http_server/mod.rs
+++ b/crates/broker/src/http_server/mod.rs
@@ -5,6 +5,7 @@
 mod routes;
 mod watched_stream;
 
+use crate::io_errors::is_accepted_connection_gone;
 use crate::query_handler::{QueryHandler, RejectedRequestCount, RequestError};
 use crate::socket_peek::has_unread_bytes;
 use actix_http::error::DispatchError;
@@ -13,14 +14,14 @@
 use connection::Connection;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
-use tokio::time::{interval, sleep};
+use tokio::time::{Instant, interval, sleep, sleep_until};
 use tracing::{debug, warn};
 use watched_stream::WatchedStream;
 
@@ -100,6 +101,7 @@
     {
         let limits = &self.query_handler.limits;
         let mut sweep = interval(limits.sweep_interval);
+        let mut accept_pause: Option<Instant> = None;
         loop {
             let has_room = self.connections.borrow().len() < self.max_connections();
             // Guards against connections that fill the bound, fall idle and keep all others waiting.
@@ -108,12 +110,9 @@
             }
             tokio::select! {
                 biased;
-                accepted = listener.accept(), if has_room => match accepted {
+                accepted = listener.accept(), if has_room && accept_pause.is_none() => match accepted {
                     Ok((stream, _)) => self.open_connection(stream, service.clone()),
-                    Err(error) => {
-                        warn!(%error, "a connection could not be accepted");
-                        sleep(limits.sweep_interval / 10).await;
-                    }
+                    Err(error) => accept_pause = Some(Instant::now() + self.pause_after(&error)),
                 },
                 () = self.close_requested.notified() => return,
                 () = self.connection_closed.notified() => {}
@@ -122,6 +121,9 @@
                     self.close_slow();
                     self.report_rejected_requests();
                 }
+                () = sleep_until(accept_pause.unwrap_or_else(Instant::now)), if accept_pause.is_some() => {
+                    accept_pause = None;
+                }
             }
         }
     }
@@ -132,6 +134,16 @@
         }
     }
 
+    /// How long nothing is accepted after an error: not at all where only that connection is gone.
+    fn pause_after(&self, error: &io::Error) -> Duration {
+        if is_accepted_connection_gone(error) {
+            debug!(%error, "a connection went before it was accepted");
+            return Duration::ZERO;
+        }
+        warn!(%error, "a connection could not be accepted");
+        self.query_handler.limits.sweep_interval / 10
+    }
+
     /// Guards against connections that clients have made and that were not accepted yet: closing the listener
     /// would reset them. At the bound they wait for room.
     async fn accept_queued<S>(self: &Rc<Self>, listener: &std::net::TcpListener, service: &Rc<S>)
@@ -147,8 +159,12 @@
                     () = sleep(self.query_handler.limits.new_connection_grace) => {}
                 }
             }
-            let Ok(stream) = listener.accept().and_then(|(stream, _)| into_async(stream)) else { return };
-            self.open_connection(stream, service.clone());
+            match listener.accept().and_then(|(stream, _)| into_async(stream)) {
+                Ok(stream) => self.open_connection(stream, service.clone()),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // The others still wait in the queue.
+                Err(error) => sleep(self.pause_after(&error)).await,
+            }
         }
     }
 
--- a/crates/broker/src/http_server/watched_stream.rs
+++ b/crates/broker/src/http_server/watched_stream.rs
@@ -1,6 +1,7 @@
 //! A client's socket as the HTTP library reads and writes it, watched for floods and for the client's close.
 
 use super::connection::Connection;
+use crate::io_errors::poll_uninterrupted;
 use crate::socket_peek::{has_unread_bytes_of, is_read_closed};
 use std::cell::RefCell;
 use std::future::Future;
@@ -33,7 +34,8 @@
     /// handled.
     fn poll_close(&mut self, context: &mut Context) -> Poll<io::Result<()>> {
         let mut byte = [0];
-        if ready!(self.stream.borrow_mut().poll_peek(context, &mut ReadBuf::new(&mut byte)))? == 0 {
+        let peek = || self.stream.borrow_mut().poll_peek(context, &mut ReadBuf::new(&mut byte));
+        if ready!(poll_uninterrupted(peek))? == 0 {
             return Poll::Ready(Ok(()));
         }
         self.connection.pause_reader(context);
@@ -78,7 +80,8 @@
             return Poll::Pending;
         }
         let before = into.filled().len();
-        ready!(Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, into))?;
+        let read = || Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, into);
+        ready!(poll_uninterrupted(read))?;
         self.connection.note_read(into.filled().len() - before);
         Poll::Ready(Ok(()))
     }
@@ -86,7 +89,8 @@
 
 impl AsyncWrite for WatchedStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, from);
+        let write = || Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, from);
+        let written = poll_uninterrupted(write);
         self.connection.note_write(matches!(written, Poll::Ready(Ok(count)) if count == from.len()));
         written
     }
--- /dev/null
+++ b/crates/broker/src/interrupt_safe.rs
@@ -0,0 +1,41 @@
+//! A stream that goes on where a signal interrupted a read or a write.
+
+use crate::io_errors::poll_uninterrupted;
+use hyper_util::client::legacy::connect::{Connected, Connection};
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Passes reads and writes on, and repeats those that were interrupted: that says nothing of the connection.
+pub struct InterruptSafe<S>(pub S);
+
+impl<S: AsyncRead + Unpin> AsyncRead for InterruptSafe<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context,
+        into: &mut ReadBuf,
+    ) -> Poll<io::Result<()>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_read(context, into))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for InterruptSafe<S> {
+    fn poll_write(mut self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_write(context, from))
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_flush(context))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context) -> Poll<io::Result<()>> {
+        poll_uninterrupted(|| Pin::new(&mut self.0).poll_shutdown(context))
+    }
+}
+
+impl<S> Connection for InterruptSafe<S> {
+    fn connected(&self) -> Connected {
+        Connected::new()
+    }
+}
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -22,6 +22,8 @@
 pub mod endpoint_list;
 pub mod engine;
 pub mod http_server;
+mod interrupt_safe;
+mod io_errors;
 pub mod limits;
 mod logging;
 pub mod node_pool;
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -67,6 +67,8 @@
     pub max_connection_shard_requests: usize,
     /// A connection to a node must be established within this.
     pub connect_timeout: Duration,
+    /// After a try to connect that failed for want of something on this machine, the next one follows.
+    pub local_retry_interval: Duration,
     /// A frame that was begun must be complete within twice this.
     pub partial_frame_timeout: Duration,
     /// A connection on which nothing came for so long after a batch was written gets no more.
@@ -152,6 +154,9 @@
 
 /// Where the settings say nothing of it: how long a connection to a node may take.
 const DEFAULT_CONNECT_TIMEOUT_MS: f64 = 1000.0;
+/// How often a connection is tried for within its time where this machine lacks something: a shortage of some
+/// milliseconds costs little more than it lasts.
+const LOCAL_RETRIES_PER_CONNECT: u32 = 32;
 /// Where the settings say nothing of it: how long a node keeps an idle connection.
 const DEFAULT_NODE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// The broker closes an idle connection before its node would.
@@ -335,6 +340,7 @@
             max_batch_size: configured_batch_size.min(max_connection_shard_requests),
             max_connection_shard_requests,
             connect_timeout,
+            local_retry_interval: connect_timeout / LOCAL_RETRIES_PER_CONNECT,
             partial_frame_timeout: connect_timeout / 4,
             unresponsive_after: connect_timeout,
             max_remembered_cancellations: REMEMBERED_CANCELLATIONS_FACTOR * max_connection_shard_requests,
--- a/crates/broker/src/node_pool/connection.rs
+++ b/crates/broker/src/node_pool/connection.rs
@@ -79,6 +79,8 @@
     /// Load probes without a reply.
     pending_probes: Cell<usize>,
     last_used_at: Cell<Instant>,
+    /// It does not come up for want of something on this machine.
+    lacks_local_resources: Cell<bool>,
     /// Since when the node owes the first byte in reply to what was written.
     awaiting_reply_since: Cell<Option<Instant>>,
     /// Notified when the writer may have something to do.
@@ -99,6 +101,7 @@
             cancelled_requests: RefCell::default(),
             pending_probes: Cell::default(),
             last_used_at: Cell::new(Instant::now()),
+            lacks_local_resources: Cell::default(),
             awaiting_reply_since: Cell::default(),
             write_ready: Notify::new(),
             abort: Notify::new(),
@@ -116,6 +119,20 @@
         self.state.get().is_closing()
     }
 
+    /// Notes whether the last try to connect failed for want of something on this machine.
+    pub fn set_lacks_local_resources(&self, lacks: bool) {
+        self.lacks_local_resources.set(lacks);
+    }
+
+    /// What an attempt of which nothing was written comes to here: it was not executed, and its node is to blame
+    /// only where this machine could have connected.
+    pub fn unwritten_outcome(&self) -> AttemptOutcome {
+        match self.lacks_local_resources.get() {
+            true => AttemptOutcome::LocalShortage,
+            false => AttemptOutcome::ConnectFailed,
+        }
+    }
+
     /// Whether nothing waits on it: no shard request, no probe, no frame.
     pub fn is_idle(&self) -> bool {
         !self.has_in_flight() && !self.has_pending_probes() && !self.has_queued_frames()
--- a/crates/broker/src/node_pool/connection_task.rs
+++ b/crates/broker/src/node_pool/connection_task.rs
@@ -5,10 +5,12 @@
 use super::writer::ConnectionWriter;
 use super::{AttemptToSend, NodePool};
 use crate::codec::{ShardRequestMessage, ToNode};
+use crate::io_errors::is_local_shortage;
 use routing::AttemptOutcome;
+use std::io;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 use tracing::debug;
 
 /// Connects, runs both loops, and gives what is left its end.
@@ -33,7 +35,7 @@
 
     async fn connect(&self) -> Option<TcpStream> {
         let node = self.connection.address;
-        match timeout(self.pool.limits.connect_timeout, TcpStream::connect(node)).await {
+        match timeout(self.pool.limits.connect_timeout, self.connect_with_resources()).await {
             Ok(Ok(stream)) => return Some(stream),
             Ok(Err(error)) => debug!(%node, %error, "no connection"),
             Err(_) => debug!(%node, "no connection in time"),
@@ -41,6 +43,19 @@
         None
     }
 
+    /// Guards against a shortage of this machine's own, which is over in a moment: tries again while it lasts.
+    async fn connect_with_resources(&self) -> io::Result<TcpStream> {
+        loop {
+            let result = TcpStream::connect(self.connection.address).await;
+            let is_short = result.as_ref().is_err_and(is_local_shortage);
+            self.connection.set_lacks_local_resources(is_short);
+            if !is_short {
+                return result;
+            }
+            sleep(self.pool.limits.local_retry_interval).await;
+        }
+    }
+
     async fn serve(&self, mut stream: TcpStream) -> ConnectionEnd {
         let connection = &*self.connection;
         if let Err(error) = stream.set_nodelay(true) {
@@ -102,7 +117,8 @@
                 // runs.
                 (WriteProgress::Complete, ConnectionEnd::InvalidData) => AttemptOutcome::Errored,
                 (WriteProgress::Complete, ConnectionEnd::Closed) => AttemptOutcome::ConnectionLost,
-                (WriteProgress::Unwritten | WriteProgress::Partial, _) => AttemptOutcome::ConnectFailed,
+                (WriteProgress::Unwritten, _) => self.connection.unwritten_outcome(),
+                (WriteProgress::Partial, _) => AttemptOutcome::ConnectFailed,
             };
             self.pool.end(attempt, outcome, None);
         }
--- a/crates/broker/src/node_pool/mod.rs
+++ b/crates/broker/src/node_pool/mod.rs
@@ -186,7 +186,7 @@
     pub fn cancel(&self, attempt: AttemptId, outcome: AttemptOutcome) {
         let Some(AttemptRoute { connection, wire_id }) = self.route_of(attempt) else { return };
         let outcome_unwritten = match outcome {
-            AttemptOutcome::TimedOut => AttemptOutcome::ConnectFailed,
+            AttemptOutcome::TimedOut => connection.unwritten_outcome(),
             other => other,
         };
         if self.cancel_unwritten(attempt, outcome_unwritten) {
@@ -205,10 +205,10 @@
     /// a slow peer leaves half read, which would reach it in another window than the one that their attempts
     /// were counted in. Harm: what else is in flight on that connection is lost with it.
     pub fn abort_incomplete(&self, attempt: AttemptId) {
-        if self.cancel_unwritten(attempt, AttemptOutcome::ConnectFailed) {
+        let Some(AttemptRoute { connection, wire_id }) = self.route_of(attempt) else { return };
+        if self.cancel_unwritten(attempt, connection.unwritten_outcome()) {
             return;
         }
-        let Some(AttemptRoute { connection, wire_id }) = self.route_of(attempt) else { return };
         if connection.progress_of(&wire_id) == Some(WriteProgress::Partial) {
             connection.abort.notify_one();
         }
--- a/crates/broker/src/node_pool/reader.rs
+++ b/crates/broker/src/node_pool/reader.rs
@@ -3,6 +3,7 @@
 use super::NodePool;
 use super::connection::{NodeConnection, UnconfirmedResponse};
 use crate::codec::{FrameDecoder, FrameError, FromNode, is_text};
+use crate::interrupt_safe::InterruptSafe;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use routing::AttemptOutcome;
@@ -32,13 +33,13 @@
 pub(super) struct ConnectionReader<'a> {
     pool: &'a NodePool,
     connection: &'a NodeConnection,
-    frames: FramedRead<ReadHalf<'a>, FrameDecoder>,
+    frames: FramedRead<InterruptSafe<ReadHalf<'a>>, FrameDecoder>,
 }
 
 impl<'a> ConnectionReader<'a> {
     pub fn new(pool: &'a NodePool, connection: &'a NodeConnection, stream: ReadHalf<'a>) -> Self {
         let decoder = FrameDecoder { max_frame_bytes: pool.limits.max_frame_bytes };
-        ConnectionReader { pool, connection, frames: FramedRead::new(stream, decoder) }
+        ConnectionReader { pool, connection, frames: FramedRead::new(InterruptSafe(stream), decoder) }
     }
 
     /// Reads until the node ends the connection, or sends what can't be used.
--- a/crates/broker/src/node_pool/writer.rs
+++ b/crates/broker/src/node_pool/writer.rs
@@ -3,6 +3,7 @@
 use super::NodePool;
 use super::connection::NodeConnection;
 use crate::codec::ToNode;
+use crate::io_errors::retry_interrupted;
 use crate::socket_peek::has_peer_closed;
 use bytes::{Buf, Bytes, BytesMut};
 use routing::AttemptOutcome;
@@ -119,7 +120,7 @@
     fn begin_frame(&mut self, frame: ToNode, now: Instant) -> ControlFlow<(), bool> {
         self.buffer.clear();
         frame.encode(now, &mut self.buffer);
-        match self.stream.try_write(&self.buffer) {
+        match retry_interrupted(|| self.stream.try_write(&self.buffer)) {
             Ok(count) => {
                 self.buffer.advance(count);
                 Continue(true)
@@ -150,7 +151,7 @@
 async fn write_all(stream: &WriteHalf<'_>, buffer: &mut BytesMut) -> io::Result<()> {
     while !buffer.is_empty() {
         stream.writable().await?;
-        match stream.try_write(buffer) {
+        match retry_interrupted(|| stream.try_write(buffer)) {
             Ok(count) => buffer.advance(count),
             Err(error) if error.kind() == ErrorKind::WouldBlock => {}
             Err(error) => return Err(error),
--- a/crates/broker/src/socket_peek.rs
+++ b/crates/broker/src/socket_peek.rs
@@ -3,6 +3,7 @@
 //! The system may know of bytes or of a close before the runtime's readiness events tell of them. The
 //! functions here say which of the two they ask.
 
+use crate::io_errors::retry_interrupted;
 use futures_util::FutureExt;
 use socket2::SockRef;
 use std::io::{self, ErrorKind};
@@ -33,11 +34,11 @@
 /// Whether at least `count` bytes lie unread, asked of the system.
 pub fn has_unread_bytes_of(stream: &TcpStream, count: usize) -> bool {
     let mut buffer = vec![MaybeUninit::uninit(); count];
-    SockRef::from(stream).peek(&mut buffer).is_ok_and(|unread| unread == count)
+    retry_interrupted(|| SockRef::from(stream).peek(&mut buffer)).is_ok_and(|unread| unread == count)
 }
 
 fn peek_byte(stream: &TcpStream) -> io::Result<usize> {
-    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+    retry_interrupted(|| SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]))
 }
 
 #[cfg(test)]
--- a/crates/broker/tests/sockets/test_cluster_process.rs
+++ b/crates/broker/tests/sockets/test_cluster_process.rs
@@ -15,8 +15,8 @@
 pub struct ClusterProcess {
     pub process: Process,
     pub faults: SystemFaults,
-    pub nodes: Vec<NodeServer>,
-    pub discovery: DiscoveryCatalog,
+    _nodes: Vec<NodeServer>,
+    _discovery: DiscoveryCatalog,
     _config: NamedTempFile,
 }
 
@@ -78,7 +78,7 @@
         let faults = SystemFaults::new(1);
         set_faults(&faults);
         let process = Process::start_with_faults(file.path(), &discovery.address.to_string(), &faults);
-        let cluster = ClusterProcess { process, faults, nodes, discovery, _config: file };
+        let cluster = ClusterProcess { process, faults, _nodes: nodes, _discovery: discovery, _config: file };
         cluster.wait_until_ready().await;
         cluster
     }
--- a/crates/routing/src/broker.rs
+++ b/crates/routing/src/broker.rs
@@ -4,7 +4,7 @@
 use crate::effective_config::EffectiveConfig;
 use crate::effects::Effect;
 use crate::inputs::{AttemptOutcome, AttemptResult, Input};
-use crate::policy::{COMMON_LIMIT_SHARE, MEANINGS, PRESSURE_SLICES, RESEND_SHARE, derive_config};
+use crate::policy::{COMMON_LIMIT_SHARE, PRESSURE_SLICES, RESEND_SHARE, derive_config};
 use crate::state::QueryEvent::{ClientLeft, DeadlineNear, ObjectiveNear, Ready};
 use crate::state::QueryEvent::{ResponseReceived, ShardRequestFailed};
 use crate::state::{AttemptId, BrokerState, Execution, QueryState, ShardRequestState, Timer};
@@ -112,7 +112,7 @@
     }
 
     fn attempt_ended(&mut self, result: &AttemptResult) {
-        let Some(meaning) = MEANINGS.iter().find(|meaning| meaning.outcome == result.outcome) else { return };
+        let Some(meaning) = result.outcome.meaning() else { return };
         let id = AttemptId { shard_request: result.shard_request, number: result.attempt };
         let attempt = self.state.in_flight.remove(&id);
         if let Some(attempt) = &attempt {
--- a/crates/routing/src/inputs.rs
+++ b/crates/routing/src/inputs.rs
@@ -155,6 +155,9 @@
     Cancelled,
     /// It was cancelled before anything was sent.
     NotSent,
+    /// It could not be sent for want of something on this broker's own machine: a descriptor, a port, memory. That
+    /// says nothing of the node.
+    LocalShortage,
 }
 
 /// What came of a probe.
--- a/crates/routing/src/policy/feedback.rs
+++ b/crates/routing/src/policy/feedback.rs
@@ -1,7 +1,7 @@
 //! What the end of an attempt tells of its query, its node and its connection.
 
-use super::AttemptOutcome::{Cancelled, ConnectFailed, ConnectionLost, Errored, NotSent};
-use super::AttemptOutcome::{Overloaded, Succeeded, TimedOut};
+use super::AttemptOutcome::{Cancelled, ConnectFailed, ConnectionLost, Errored, LocalShortage};
+use super::AttemptOutcome::{NotSent, Overloaded, Succeeded, TimedOut};
 use super::Execution::{MaybeExecuted, NotExecuted, Unsent};
 use super::*;
 
@@ -26,7 +26,7 @@
 }
 
 #[rustfmt::skip]
-pub(crate) const MEANINGS: &[Meaning] = &[
+const MEANINGS: &[Meaning] = &[
     Meaning { outcome: Succeeded,      execution: MaybeExecuted, overload: false, blame: false, down: false },
     Meaning { outcome: Errored,        execution: MaybeExecuted, overload: false, blame: true,  down: false },
     Meaning { outcome: Overloaded,     execution: NotExecuted,   overload: true,  blame: true,  down: false },
@@ -35,8 +35,25 @@
     Meaning { outcome: ConnectionLost, execution: MaybeExecuted, overload: false, blame: true,  down: true },
     Meaning { outcome: Cancelled,      execution: MaybeExecuted, overload: false, blame: false, down: false },
     Meaning { outcome: NotSent,        execution: Unsent,        overload: false, blame: false, down: false },
+    Meaning { outcome: LocalShortage,  execution: Unsent,        overload: false, blame: false, down: false },
 ];
 
+impl AttemptOutcome {
+    pub(crate) fn meaning(self) -> Option<&'static Meaning> {
+        MEANINGS.iter().find(|meaning| meaning.outcome == self)
+    }
+
+    /// Whether it says something of how nodes bear the load: the attempt was sent, and ended by itself.
+    pub fn tells_of_load(self) -> bool {
+        self != Cancelled && self.meaning().is_some_and(|meaning| meaning.execution != Unsent)
+    }
+
+    /// Whether it counts as overload in the pressure.
+    pub fn is_overload(self) -> bool {
+        self.meaning().is_some_and(|meaning| meaning.overload)
+    }
+}
+
 impl Broker {
     /// What a shard request comes to when an attempt of it has ended.
     pub(crate) fn state_after(&self, query: &Query, index: usize, end: AttemptOutcome) -> ShardRequestState {
@@ -57,7 +74,7 @@
         if meaning.execution != Unsent {
             self.learn_of_connection(attempt, result, meaning);
         }
-        if meaning.execution != Unsent && result.outcome != Cancelled {
+        if result.outcome.tells_of_load() {
             let [overload, down] = [meaning.overload, meaning.down].map(|is| f64::from(u8::from(is)));
             self.state.node_failures.count(now, SMOOTHING_SPAN, down, 1.0);
             self.state.count_overload(SMOOTHING_SPAN, attempt.within_quota, overload, 1.0);
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -12,7 +12,6 @@
 mod slow_start;
 
 pub(crate) use configuration::derive_config;
-pub(crate) use feedback::MEANINGS;
 
 use crate::broker::Broker;
 use crate::config::{BrokerConfig, Idempotency, RetryBudget};
--- a/crates/routing/src/policy/retries.rs
+++ b/crates/routing/src/policy/retries.rs
@@ -5,7 +5,7 @@
 impl Broker {
     pub(crate) fn send_attempt(&mut self, query: &mut Query, index: usize) {
         let shard_request = &query.shard_requests[index];
-        let (id, is_retry) = (shard_request.id, !shard_request.attempts.is_empty());
+        let (id, is_retry) = (shard_request.id, shard_request.was_attempted());
         let is_in_flight = shard_request.attempts_in_flight() > 0;
         let state_if_unsent = |unsent| if is_in_flight { ShardRequestState::InFlight } else { unsent };
         let is_held = is_retry && self.is_query_of_death(query);
@@ -102,7 +102,7 @@
             (Idempotency::IdempotencyKey, Some(first)) => arrives_at - first <= policy.dedup_window,
             (Idempotency::AtMostOnce, Some(_)) => false,
         };
-        let has_attempts_left = shard_request.attempts.len() <= (max_retries + 0.5) as usize;
+        let has_attempts_left = shard_request.attempts_made() <= (max_retries + 0.5) as usize;
         has_attempts_left && query.policies(self.config.classes.get(&query.class)).all(is_harmless)
     }
 
--- a/crates/routing/src/state/query.rs
+++ b/crates/routing/src/state/query.rs
@@ -54,6 +54,16 @@
         self.attempts.iter().filter(|attempt| attempt.execution == Execution::InFlight).count()
     }
 
+    /// Whether one of its attempts went out, or may still.
+    pub(crate) fn was_attempted(&self) -> bool {
+        self.attempts_made() > 0
+    }
+
+    /// How many of its attempts went out, or may still.
+    pub(crate) fn attempts_made(&self) -> usize {
+        self.attempts.iter().filter(|attempt| attempt.execution != Execution::Unsent).count()
+    }
+
     /// An attempt at this node is in flight.
     pub(crate) fn is_in_flight_at(&self, node: NodeId) -> bool {
         self.attempts.iter().any(|attempt| attempt.node == node && attempt.execution == Execution::InFlight)
--- a/crates/routing/src/state/query_table.rs
+++ b/crates/routing/src/state/query_table.rs
@@ -114,7 +114,7 @@
         let shard_request = &mut query.shard_requests[index];
         let number = AttemptNumber(shard_request.attempts.len() as u16);
         let attempt = AttemptId { shard_request: shard_request.id, number };
-        if !shard_request.attempts.is_empty() {
+        if shard_request.was_attempted() {
             self.retries.push_back(Retry { sent_at: self.now, attempt });
         }
         shard_request.state = ShardRequestState::InFlight;
--- a/crates/routing/tests/scenarios.rs
+++ b/crates/routing/tests/scenarios.rs
@@ -288,6 +288,7 @@
             "connection-lost" => AttemptOutcome::ConnectionLost,
             "cancelled" => AttemptOutcome::Cancelled,
             "not-sent" => AttemptOutcome::NotSent,
+            "local-shortage" => AttemptOutcome::LocalShortage,
             other => panic!("`{other}` is no end"),
         };
         let before = self.inputs.len();
