--- a/crates/broker/tests/sockets/discovery.rs
+++ b/crates/broker/tests/sockets/discovery.rs
@@ -124,3 +124,49 @@
         assert_eq!(client.reply_status().await, 200);
     });
 }
+
+/// Discovery that answers later than the next call is due: its answer to the first call is used, though others have
+/// been made since and none of them is answered.
+#[rstest]
+fn uses_a_list_that_comes_late() {
+    for is_agent in [true, false] {
+        run_test(async move {
+            let slow = |startup: &mut StartupConfig| startup.limits.list_timeout = Duration::from_millis(300);
+            let unknown = move |config: &mut Value| {
+                config["known"]["members"] = json!([]);
+                config["settings"]["RegistryMode"] = json!(if is_agent { "automatic" } else { "subscribe" });
+            };
+            let mut cluster = TestCluster::start_with(1, unknown, slow).await;
+            // With an agent the seventh call comes 0.6 s after the first, which was to be given up after 0.3 s.
+            for _ in 0..if is_agent { 7 } else { 2 } {
+                assert_eq!(cluster.discovery.called().await, "/catalog/members");
+            }
+            // It goes to the first call: whichever waits longest takes the next response.
+            cluster.discovery.reply(snapshot(2, &[member(&cluster.nodes, 0, "ready")]));
+            wait_until(|| cluster.broker.engine.can_serve()).await;
+            while cluster.discovery.called().await != "/catalog/members?after=2&wait_ms=4000" {}
+        });
+    }
+}
+
+/// Configurations in quick succession: discovery is asked where the last one says, and is not asked once for each.
+#[rstest]
+fn asks_seldom_after_many_reloads() {
+    run_test(async {
+        let mut cluster = TestCluster::start_with(1, pushed, |_| ()).await;
+        let list = snapshot(2, &[member(&cluster.nodes, 0, "ready")]);
+        let (address, reloads) = (cluster.discovery.address(), 100);
+        for _ in 0..reloads {
+            cluster.discovery.reply(&list);
+            cluster.broker.discovery.send_replace(address);
+            sleep_ms(5).await;
+        }
+        let mut calls = 0;
+        // Nothing is answered any more, so that this ends.
+        while let Ok(path) = tokio::time::timeout(Duration::from_millis(30), cluster.discovery.called()).await
+        {
+            calls += usize::from(path == "/catalog/members");
+        }
+        assert!((2..=reloads / 4).contains(&calls), "{calls} calls for {reloads} reloads");
+    });
+}
