A list that comes late is used, reloads are bounded, and ids used again break nothing

(h) an id of the wire that is used again left places that point into another query. (h) a place counts only where the shard request there has its id, and an attempt that is not there is none.

--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -2,6 +2,7 @@
 
 mod connector;
 mod error;
+mod list_requests;
 
 use crate::endpoint_list::NodeList;
 use crate::engine::Engine;
@@ -9,18 +10,19 @@
 use bytes::Bytes;
 use connector::DiscoveryConnector;
 use error::DiscoveryError;
-use futures_util::stream::FuturesUnordered;
-use futures_util::{FutureExt, StreamExt};
+use futures_util::FutureExt;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy;
 use hyper_util::rt::TokioExecutor;
+use list_requests::{ListRequests, RequestOutcome};
 use routing::EndpointListKind;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep_until, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tracing::warn;
 
 /// Keeps its connections; reads a response without a length up to its end, and takes no reset for one.
@@ -68,7 +70,8 @@
                     }
                     sleep_until(retry_at).await;
                 }
-                Ok(()) = discovery.changed() => {}
+                // Guards against configurations in quick succession, of which each would ask for the list.
+                Ok(()) = discovery.changed() => sleep_until(retry_at).await,
             }
         }
     }
@@ -82,10 +85,7 @@
     /// Lists all nodes, then waits for changes, until a request fails.
     async fn watch(&self, discovery: SocketAddr) -> Result<Infallible, DiscoveryError> {
         let list_url = format!("http://{discovery}/catalog/members");
-        let mut list = match self.limits.has_discovery_agent {
-            true => self.request_until_answered(&list_url).await,
-            false => self.request(&list_url, self.limits.list_timeout).await?,
-        };
+        let mut list = self.request_list(&list_url).await?;
         if !list.is_complete {
             return Err(DiscoveryError::UnexpectedDelta);
         }
@@ -99,25 +99,46 @@
         }
     }
 
-    /// Sends requests at intervals, the first at once, until one of those that still wait is answered.
-    async fn request_until_answered(&self, url: &str) -> NodeList {
-        let mut pending_requests = FuturesUnordered::new();
-        let mut request_interval = interval(self.limits.agent_retry_interval);
-        request_interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let time_limit = self.limits.list_timeout;
-        let mut has_failed = false;
+    /// Asks for all nodes until one of the requests that still wait is answered. Guards against discovery that
+    /// answers later than the next request is due: one request is waited for much longer than the others. Where
+    /// discovery is shared, each failure is reported, and the engine says when the next request is due.
+    async fn request_list(&self, url: &str) -> Result<NodeList, DiscoveryError> {
+        let mut requests = ListRequests::default();
+        loop {
+            let is_patient = !requests.has_patient();
+            let time_limit =
+                if is_patient { self.limits.patient_list_timeout } else { self.limits.list_timeout };
+            requests.push(self.request(url, time_limit), is_patient);
+            if let Some(list) = self.await_list(&mut requests).await {
+                return Ok(list);
+            }
+            if !self.limits.has_discovery_agent {
+                self.report_failure();
+                tokio::select! {
+                    list = requests.answered() => return Ok(list),
+                    () = self.engine.watch_requested.notified() => {}
+                }
+            }
+        }
+    }
+
+    /// Waits for a list until the next request is due; where discovery is shared, no longer than until the newest
+    /// request has failed.
+    async fn await_list(&self, requests: &mut ListRequests<'_>) -> Option<NodeList> {
+        let next_due = sleep(match self.limits.has_discovery_agent {
+            true => self.limits.agent_retry_interval,
+            false => self.limits.list_timeout,
+        });
+        let mut next_due = pin!(next_due);
         loop {
             tokio::select! {
-                _ = request_interval.tick() => pending_requests.push(self.request(url, time_limit)),
-                Some(result) = pending_requests.next() => match result {
-                    Ok(list) => return list,
-                    // One line for all of its silence.
-                    Err(error) if !has_failed => {
-                        has_failed = true;
-                        warn!(%error, "the agent does not list the nodes, calls go on");
-                    }
-                    Err(_) => {}
+                biased;
+                outcome = requests.next(), if !requests.is_empty() => match outcome {
+                    RequestOutcome::Answered(list) => return Some(list),
+                    RequestOutcome::NewestFailed if !self.limits.has_discovery_agent => return None,
+                    RequestOutcome::NewestFailed | RequestOutcome::OlderFailed => {}
                 },
+                () = &mut next_due => return None,
             }
         }
     }
--- /dev/null
+++ b/crates/broker/src/discovery/list_requests.rs
@@ -0,0 +1,87 @@
+//! Requests for the complete endpoint list that wait side by side.
+
+use super::error::DiscoveryError;
+use crate::endpoint_list::NodeList;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::FuturesUnordered;
+use std::future::{Future, pending};
+use tracing::warn;
+
+/// What became of one of the requests.
+pub(super) enum RequestOutcome {
+    /// It was answered.
+    Answered(NodeList),
+    /// The newest one failed.
+    NewestFailed,
+    /// Another one failed.
+    OlderFailed,
+}
+
+struct FinishedRequest {
+    number: usize,
+    is_patient: bool,
+    result: Result<NodeList, DiscoveryError>,
+}
+
+/// The requests that still wait. One of them is patient: it is waited for much longer than the others.
+#[derive(Default)]
+pub(super) struct ListRequests<'a> {
+    waiting: FuturesUnordered<LocalBoxFuture<'a, FinishedRequest>>,
+    newest: usize,
+    has_patient: bool,
+    has_failed: bool,
+}
+
+impl<'a> ListRequests<'a> {
+    /// Whether a patient one waits.
+    pub(super) fn has_patient(&self) -> bool {
+        self.has_patient
+    }
+
+    /// Whether none waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Adds a request, which is the newest from now on.
+    pub(super) fn push(
+        &mut self,
+        request: impl Future<Output = Result<NodeList, DiscoveryError>> + 'a,
+        is_patient: bool,
+    ) {
+        self.newest += 1;
+        self.has_patient |= is_patient;
+        let number = self.newest;
+        let finished = async move { FinishedRequest { number, is_patient, result: request.await } };
+        self.waiting.push(Box::pin(finished));
+    }
+
+    /// Waits for the next one to finish; for ever where none waits.
+    pub(super) async fn next(&mut self) -> RequestOutcome {
+        let Some(finished) = self.waiting.next().await else { return pending().await };
+        self.has_patient &= !finished.is_patient;
+        match finished.result {
+            Ok(list) => RequestOutcome::Answered(list),
+            Err(error) => {
+                // One line for all of its silence.
+                if !std::mem::replace(&mut self.has_failed, true) {
+                    warn!(%error, "discovery does not list the nodes, calls go on");
+                }
+                match finished.number == self.newest {
+                    true => RequestOutcome::NewestFailed,
+                    false => RequestOutcome::OlderFailed,
+                }
+            }
+        }
+    }
+
+    /// Waits for a list, however many requests fail.
+    pub(super) async fn answered(&mut self) -> NodeList {
+        loop {
+            if let RequestOutcome::Answered(list) = self.next().await {
+                return list;
+            }
+        }
+    }
+}
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -105,6 +105,8 @@
     pub assumed_notified_after: Tenths,
     /// A request for the complete endpoint list is given up after this.
     pub list_timeout: Duration,
+    /// One such request is waited for so long, while others are made.
+    pub patient_list_timeout: Duration,
     /// Where the settings call the endpoint list automatic, discovery is an agent on the broker's own
     /// machine.
     pub has_discovery_agent: bool,
@@ -193,6 +195,8 @@
 const NOTIFIED_AFTER_SILENCE: Duration = Duration::from_secs(6);
 /// See [`NOTIFIED_AFTER_SILENCE`].
 const NOTIFIED_AFTER_WAIT: Duration = Duration::from_secs(2);
+/// Discovery may be slow; a broker that is not ready within 30 s counts as failed.
+const PATIENT_LIST_TIMEOUT: Duration = Duration::from_secs(24);
 /// What a watch costs grows with the number of requests.
 const MIN_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// The number of watches within the age that an endpoint list may have.
@@ -358,6 +362,7 @@
             max_client_wait: MAX_CLIENT_WAIT,
             assumed_notified_after: Tenths::from_ms(NOTIFIED_AFTER_SILENCE.as_millis() as f64),
             list_timeout: watch.list_timeout,
+            patient_list_timeout: PATIENT_LIST_TIMEOUT,
             has_discovery_agent: watch.has_agent,
             watch_wait: watch.wait,
             watch_slack: watch.slack,
--- a/crates/routing/src/state/query.rs
+++ b/crates/routing/src/state/query.rs
@@ -71,7 +71,8 @@
 
     /// Waits for this attempt, of whose response nothing has come.
     pub(crate) fn awaits(&self, attempt: AttemptNumber) -> bool {
-        let is_in_flight = self.attempts[usize::from(attempt.0)].execution == Execution::InFlight;
+        let attempt = self.attempts.get(usize::from(attempt.0));
+        let is_in_flight = attempt.is_some_and(|attempt| attempt.execution == Execution::InFlight);
         self.state == ShardRequestState::InFlight && !self.response_started && is_in_flight
     }
 
--- a/crates/routing/src/state/query_table.rs
+++ b/crates/routing/src/state/query_table.rs
@@ -42,6 +42,9 @@
     /// Takes the query of a shard request out, to be put back; with the shard request's index in it.
     pub(crate) fn take_query_of(&mut self, shard_request: ShardRequestId) -> Option<(Query, usize)> {
         let place = *self.shard_requests.get(&shard_request)?;
+        let query = self.queries.get(&place.query)?;
+        // Guards against an id that was used again: its query may have been replaced by another.
+        query.shard_requests.get(place.index).filter(|found| found.id == shard_request)?;
         Some((self.queries.remove(&place.query)?, place.index))
     }
 
@@ -137,8 +140,9 @@
     /// A response has begun to arrive: the shard request is bound to that attempt.
     pub(crate) fn mark_response_started(&mut self, shard_request: ShardRequestId) {
         let Some(place) = self.shard_requests.get(&shard_request) else { return };
-        if let Some(query) = self.queries.get_mut(&place.query) {
-            query.shard_requests[place.index].response_started = true;
+        let query = self.queries.get_mut(&place.query);
+        if let Some(found) = query.and_then(|query| query.shard_requests.get_mut(place.index)) {
+            found.response_started = true;
         }
     }
 }
