--- a/crates/routing/tests/random_inputs.rs
+++ b/crates/routing/tests/random_inputs.rs
@@ -108,7 +108,7 @@
     let mut broker = Broker::start(config(&mut rng), seed, now);
     let (mut next, mut sent) = (0, Vec::new());
     for _ in 0..TURNS {
-        now = now + Tenths(rng.i64(50..900));
+        now += Tenths(rng.i64(50..900));
         let mut inputs = vec![Input::Woken];
         for _ in 0..rng.usize(0..5) {
             match rng.u32(0..10) {
