--- a/crates/broker/tests/command.rs
+++ b/crates/broker/tests/command.rs
@@ -238,3 +238,21 @@
     let stderr = String::from_utf8(output.stderr).unwrap();
     assert!(output.status.code() == Some(2) && stderr.contains(message), "{stderr}");
 }
+
+/// The platform's form, without a command: a file that can't be used ends it as it ends `serve`, with every mistake.
+#[rstest]
+fn the_bare_form_lists_every_mistake() {
+    let mut broken = settings();
+    broken["PeriodMs"] = json!(-5.0);
+    broken["Domain"]["Cells"] = json!("many");
+    let (_folder, path) = write_file("config.json", &config(&broken).to_string());
+    let output = Command::new(env!("CARGO_BIN_EXE_shard-broker"))
+        .env("EDGE_CONFIG", &path)
+        .env("EDGE_LISTEN", "127.0.0.1:0")
+        .env("EDGE_DISCOVERY", "127.0.0.1:9")
+        .output()
+        .unwrap();
+    let stderr = String::from_utf8(output.stderr).unwrap();
+    assert_eq!(output.status.code(), Some(2), "{stderr}");
+    assert!(stderr.contains("PeriodMs") && stderr.contains("Cells"), "{stderr}");
+}
--- a/crates/broker/tests/config_rollout/main.rs
+++ b/crates/broker/tests/config_rollout/main.rs
@@ -327,3 +327,25 @@
         assert_eq!(open.join().unwrap(), Some(1), "rejected under the version that it was accepted under");
     });
 }
+
+/// The folder of the state file can't be written for a while: what was confirmed meanwhile is stored once it can, though
+/// no other version comes.
+#[rstest]
+fn stores_what_it_owes_once_it_can() {
+    let service = XdsTestServer::start(ANY_PORT, FaultPlan::default()).unwrap();
+    let (folder, host) = (tempfile::tempdir().unwrap(), node());
+    let lasting = folder.path().join("lasting");
+    let control = format!("{QUICK}\nkeep_file = {}", lasting.join("state").display());
+    let start = BrokerStart {
+        folder: folder.path(),
+        name: "a",
+        node: host.address,
+        services: vec![service.address],
+        control: &control,
+    };
+    let mut broker = Broker::start(&start);
+    service.publish(1, INSTALLATION, &text(1));
+    broker.wait_for_log("nothing kept");
+    std::fs::create_dir(&lasting).unwrap();
+    wait_until("the state is stored", || lasting.join("state").exists());
+}
--- a/crates/broker/tests/limits.rs
+++ b/crates/broker/tests/limits.rs
@@ -1,6 +1,6 @@
 //! Times that follow from the protocol's clock and the settings.
 
-use broker::limits::{Limits, Machine};
+use broker::limits::{self, Limits, Machine};
 use routing::{ClassId, RequestClass, Tenths};
 use rstest::rstest;
 use settings::BrokerSettings;
@@ -52,3 +52,13 @@
     let closed = limits.client_io_timeout + limits.unread_body_timeout + limits.sweep_interval;
     assert!(closed < Duration::from_secs(3));
 }
+
+/// An attempt that begins more than 0.1 s after its client has left is a break: the look for a close that is hidden
+/// behind unread bytes and the turns that act on it leave half of that for a busy machine.
+#[rstest]
+fn a_hidden_close_is_seen_in_time() {
+    let broker_settings = BrokerSettings::default();
+    let limits = Limits::new(MACHINE, &broker_settings).unwrap();
+    let turns = 2 * limits::to_duration(broker_settings.broker_config.period);
+    assert!(limits.close_poll_interval + turns <= Duration::from_millis(50));
+}
