A hidden close is seen in 33 ms, every mistake ends the bare form, and a state is stored once it can

Change: 0.1 s, looked for three times in it; the bare form lists what `check` lists, exit 2; the store is tried again each second; the draft has one name, so that the next write replaces what a kill left; the shutdown reads the classes as they are. One test is new with its function (`a_write_that_was_cut_leaves_nothing_behind`).

--- a/crates/broker/src/command/mod.rs
+++ b/crates/broker/src/command/mod.rs
@@ -9,10 +9,10 @@
 
 use crate::config_rollout;
 use crate::program::serve;
-use crate::startup::ConfigSource;
+use crate::startup::{ConfigSource, StartupError};
 use check::{check, check_json_file, read_operator_file};
 use clap::{Parser, Subcommand};
-use mistakes::EXIT_MISTAKE;
+use mistakes::{EXIT_MISTAKE, Mistakes};
 use reshape::{ReshapeRequest, reshape};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -154,6 +154,12 @@
     serve(&ConfigSource { config }, operator)
 }
 
+/// Lists every mistake of a config file that could not be started from for this reason.
+pub(crate) fn report_invalid_file(path: &str, reason: &StartupError) -> ExitCode {
+    let path = Path::new(path);
+    check_json_file(path).err().unwrap_or_else(|| Mistakes::one(reason)).report(path, false)
+}
+
 /// Stands in for an address of a config file that is checked and not started from.
 fn placeholder_address(variable: &str) -> Option<String> {
     matches!(variable, "EDGE_LISTEN" | "EDGE_DISCOVERY").then(|| "127.0.0.1:0".to_owned())
--- a/crates/broker/src/limits.rs
+++ b/crates/broker/src/limits.rs
@@ -1,7 +1,8 @@
 //! All sizes, counts and times of the broker on sockets, worked out at the start and handed down.
 
-use routing::{BrokerConfig, Tenths};
+use routing::{BrokerConfig, ClassId, RequestClass, Tenths};
 use settings::BrokerSettings;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// What the machine gives the broker.
@@ -118,8 +119,6 @@
     pub agent_retry_interval: Duration,
     /// New connections keep coming for so long after the signal to shut down.
     pub shutdown_accept_period: Duration,
-    /// All that was accepted has its response so long after the signal to shut down.
-    pub shutdown_timeout: Duration,
     /// Responses to those that had to be failed then are written within this.
     pub final_response_timeout: Duration,
     /// How often a close is looked for that a client hides behind bytes it sent ahead.
@@ -186,8 +185,8 @@
 const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
 /// Bounds the time that a client may have a query held.
 const MAX_CLIENT_WAIT: Duration = Duration::from_secs(600);
-/// A client that left while its request waited: nothing of it goes out later than this.
-const CANCELLED_WITHIN: Duration = Duration::from_millis(300);
+/// A client that left while its request waited: an attempt that begins later than this is a break.
+const CANCELLED_WITHIN: Duration = Duration::from_millis(100);
 
 /// The protocol's clock: the broker counts as notified of what a watch that fell silent misses so long after
 /// it fell silent, or so long after the wait that it was asked for ([`NOTIFIED_AFTER_WAIT`]), if that is
@@ -307,9 +306,9 @@
     }
 }
 
-/// How long after the signal to shut down the last responses must be on their way.
-fn shutdown_timeout(config: &BrokerConfig) -> Duration {
-    let deadlines = config.classes.values().map(|class| class.deadline);
+/// How long after the signal to shut down the last responses must be on their way, with these classes.
+pub fn shutdown_timeout(classes: &BTreeMap<ClassId, RequestClass>) -> Duration {
+    let deadlines = classes.values().map(|class| class.deadline);
     let longest_deadline = deadlines.max().unwrap_or_default();
     to_duration(longest_deadline.min(LONGEST_COUNTED_DEADLINE)) + KILL_MARGIN - 2 * SOCKET_ALLOWANCE
 }
@@ -368,7 +367,6 @@
             watch_slack: watch.slack,
             agent_retry_interval: watch.agent_retry_interval,
             shutdown_accept_period: SHUTDOWN_ACCEPT_PERIOD,
-            shutdown_timeout: shutdown_timeout(config),
             final_response_timeout: SOCKET_ALLOWANCE,
             close_poll_interval: CANCELLED_WITHIN / 3,
             turn_period: config.period,
--- a/crates/broker/src/program.rs
+++ b/crates/broker/src/program.rs
@@ -1,5 +1,6 @@
 //! The program `shard-broker`: without arguments, or as the command line says.
 
+use crate::command::report_invalid_file;
 use crate::logging::log_to_standard_error;
 use crate::reload::{reload_on_signal, reload_signal};
 use crate::running::start_fitted;
@@ -17,14 +18,17 @@
     }
 }
 
-/// Serves until SIGTERM. Exit code 1: it could not start.
+/// Serves until SIGTERM. Exit code 1: it could not start; 2: there are mistakes in its file, and they are listed.
 pub(crate) fn serve(source: &ConfigSource, operator: OperatorConfig) -> ExitCode {
     log_to_standard_error(operator.log_format);
     match serve_until_terminated(source, operator) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             error!(%reason, "can't serve");
-            ExitCode::FAILURE
+            match &reason {
+                StartupError::InvalidFile { path, source } => report_invalid_file(path, source),
+                _ => ExitCode::FAILURE,
+            }
         }
     }
 }
--- a/crates/broker/src/shutdown.rs
+++ b/crates/broker/src/shutdown.rs
@@ -1,5 +1,6 @@
 //! Shutting down on SIGTERM: everything that was accepted is answered first.
 
+use crate::limits::shutdown_timeout;
 use crate::running::Running;
 use std::io;
 use std::pin::pin;
@@ -21,7 +22,8 @@
     /// the kill: what no node has answered by the last moment before it is answered as failed.
     pub async fn shut_down(self) {
         info!(open_queries = self.engine.open_queries(), "shutting down");
-        let deadline = Instant::now() + self.limits.shutdown_timeout;
+        // By the classes as they are now: a rollout may have changed the deadlines that the kill waits for.
+        let deadline = Instant::now() + shutdown_timeout(&self.engine.epoch().classes);
         sleep(self.limits.shutdown_accept_period).await;
         let mut closed = pin!(self.http_server.close());
         if timeout_at(deadline, &mut closed).await.is_err() {
--- a/crates/broker/tests/config_rollout/main.rs
+++ b/crates/broker/tests/config_rollout/main.rs
@@ -345,7 +345,8 @@
     };
     let mut broker = Broker::start(&start);
     service.publish(1, INSTALLATION, &text(1));
-    broker.wait_for_log("nothing kept");
+    // Once as it is put on probation, and once as it is confirmed.
+    (0..2).for_each(|_| _ = broker.wait_for_log("nothing kept"));
     std::fs::create_dir(&lasting).unwrap();
     wait_until("the state is stored", || lasting.join("state").exists());
 }
--- a/crates/broker/tests/limits.rs
+++ b/crates/broker/tests/limits.rs
@@ -39,7 +39,8 @@
     let class = RequestClass { deadline: Tenths::from_ms(deadline_ms), ..Default::default() };
     broker_settings.broker_config.classes.insert(ClassId(0), class);
     let limits = Limits::new(MACHINE, &broker_settings).unwrap();
-    let answered = limits.shutdown_timeout + limits.final_response_timeout;
+    let answered =
+        limits::shutdown_timeout(&broker_settings.broker_config.classes) + limits.final_response_timeout;
     assert!(answered < Duration::from_millis(kill_ms));
     assert!(answered + Duration::from_millis(100) >= Duration::from_millis(kill_ms));
 }
--- a/crates/config-rollout-client/src/rollout_client.rs
+++ b/crates/config-rollout-client/src/rollout_client.rs
@@ -25,6 +25,8 @@
 
 /// What a broker calls itself to the service.
 const USER_AGENT: &str = "barleydrum";
+/// A state that could not be stored is stored after this: a full disk or a failing sync may last.
+const STORE_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// How long the loop sleeps where no timer is set.
 const LONGEST_SLEEP: Duration = Duration::from_secs(3600);
 
@@ -42,12 +44,17 @@
     client.handle(Input::Start).await;
     loop {
         let wake_at = client.wake_at.unwrap_or_else(|| Instant::now() + LONGEST_SLEEP);
+        let store_at = client.store_again_at.unwrap_or_else(|| Instant::now() + LONGEST_SLEEP);
         tokio::select! {
             Some(event) = stream_events.recv() => client.handle_stream_event(event).await,
             () = sleep_until(wake_at) => {
                 client.wake_at = None;
                 client.handle(Input::TimerExpired).await;
             }
+            () = sleep_until(store_at) => {
+                client.store_again_at = None;
+                client.store_state().await;
+            }
             _ = counting.tick() => {
                 let Some(sample) = client.receiver.count_outcomes().await else { return };
                 client.handle(Input::OutcomesCounted(sample)).await;
@@ -66,6 +73,8 @@
     events: mpsc::Sender<StreamEvent>,
     stream: Option<XdsStream>,
     wake_at: Option<Instant>,
+    /// When the state is stored that could not be stored before.
+    store_again_at: Option<Instant>,
 }
 
 impl<R: ConfigReceiver> RolloutClient<R> {
@@ -95,6 +104,7 @@
             events,
             stream: None,
             wake_at: None,
+            store_again_at: None,
         }
     }
 
@@ -210,9 +220,9 @@
         }
     }
 
-    /// Whether the state was stored. It is written on a thread for that: a slow disk holds up neither the
-    /// broker nor its status.
-    async fn store_state(&self) -> bool {
+    /// Whether the state was stored; if not, that is tried again. It is written on a thread for that: a slow disk
+    /// holds up neither the broker nor its status.
+    async fn store_state(&mut self) -> bool {
         let Some(path) = self.config.state_file.clone() else { return false };
         let confirmed = self.cache.confirmed.to_wire(&self.config.installation);
         let state = state_file::StoredState::new(&self.controller.persisted_state(), confirmed);
@@ -223,6 +233,7 @@
         if let Err(reason) = &result {
             warn!(reason, "nothing kept: a restart would go back to what was kept last");
         }
+        self.store_again_at = result.is_err().then(|| Instant::now() + STORE_AGAIN_AFTER);
         result.is_ok()
     }
 }
--- a/crates/config-rollout-client/src/state_file.rs
+++ b/crates/config-rollout-client/src/state_file.rs
@@ -6,9 +6,10 @@
 use config_rollout::{Digest, PersistedState, ProbationAttempt, VersionId, WithdrawnVersion};
 use prost::Message;
 use std::cmp::Reverse;
+use std::ffi::OsString;
 use std::fs::File;
 use std::io::{self, Read, Write};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use thiserror::Error;
 
 /// The first line of such a file.
@@ -148,14 +149,29 @@
 /// any point leaves the old file or the new.
 pub fn write(path: &Path, state: &StoredState) -> io::Result<()> {
     let folder = path.parent().filter(|folder| !folder.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let draft = draft_of(path);
+    write_draft(&draft, state)
+        .and_then(|()| std::fs::rename(&draft, path))
+        .inspect_err(|_| _ = std::fs::remove_file(&draft))?;
+    File::open(folder)?.sync_all()
+}
+
+/// What is written before it takes the file's place. Its name is always the same: what a kill leaves of it is
+/// replaced by the next write.
+fn draft_of(path: &Path) -> PathBuf {
+    let name = path.file_name().unwrap_or_default();
+    let mut draft = OsString::from(".kept-");
+    draft.push(name);
+    path.with_file_name(draft)
+}
+
+fn write_draft(draft: &Path, state: &StoredState) -> io::Result<()> {
     let body = state.encode_to_vec();
-    let mut file = tempfile::Builder::new().prefix(".kept-").tempfile_in(folder)?;
+    let mut file = File::create(draft)?;
     file.write_all(MARK)?;
     writeln!(file, "{}", blake3::hash(&body).to_hex())?;
     file.write_all(&body)?;
-    file.as_file().sync_all()?;
-    file.persist(path).map_err(|error| error.error)?;
-    File::open(folder)?.sync_all()
+    file.sync_all()
 }
 
 /// Reads the file; `max_document_bytes` bounds the document and, with some room for the rest, the file.
--- a/crates/config-rollout-client/src/state_file/tests.rs
+++ b/crates/config-rollout-client/src/state_file/tests.rs
@@ -23,6 +23,19 @@
     assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 1);
 }
 
+/// A kill may leave a write half done: what it leaves is used by nobody, and the next write leaves nothing of it.
+#[rstest]
+fn a_write_that_was_cut_leaves_nothing_behind() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("state");
+    write(&path, &state(1)).unwrap();
+    std::fs::write(draft_of(&path), b"half").unwrap();
+    assert_eq!(read(&path, 1000).unwrap(), state(1));
+    write(&path, &state(2)).unwrap();
+    assert_eq!(read(&path, 1000).unwrap(), state(2));
+    assert_eq!(std::fs::read_dir(folder.path()).unwrap().count(), 1);
+}
+
 /// Cut at any byte, or with any one bit flipped, it is no state.
 #[rstest]
 fn a_corrupt_file_is_no_state() {
