--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -15,6 +15,7 @@
 mod queries;
 mod races;
 mod shutdown;
+mod soak;
 mod system_faults;
 mod test_cluster_process;
 mod test_peers;
--- a/crates/broker/tests/sockets/test_peers.rs
+++ b/crates/broker/tests/sockets/test_peers.rs
@@ -240,7 +240,7 @@
 pub struct Process {
     pub listens: SocketAddr,
     child: std::process::Child,
-    log: RefCell<std::io::BufReader<std::process::ChildStderr>>,
+    log: RefCell<Option<std::io::BufReader<std::process::ChildStderr>>>,
 }
 
 impl Process {
@@ -264,7 +264,7 @@
 
     fn spawn(command: &mut std::process::Command) -> Process {
         let mut child = command.stderr(std::process::Stdio::piped()).spawn().unwrap();
-        let log = RefCell::new(std::io::BufReader::new(child.stderr.take().unwrap()));
+        let log = RefCell::new(child.stderr.take().map(std::io::BufReader::new));
         let mut process = Process { listens: SocketAddr::from(([127, 0, 0, 1], 0)), child, log };
         process.listens = process.wait_for_log("listen_address=").parse().unwrap();
         process
@@ -275,6 +275,19 @@
         assert!(std::process::Command::new("kill").args([signal, id]).status().unwrap().success());
     }
 
+    /// Reads its log to the end on a thread: a pipe that nobody reads would hold the process up.
+    pub fn discard_log(&self) {
+        if let Some(mut log) = self.log.borrow_mut().take() {
+            std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        }
+    }
+
+    /// Ends it by SIGKILL, if it has not ended; its exit code, if it had.
+    pub fn kill(&mut self) -> Option<i32> {
+        let _ = self.child.kill();
+        self.exit()
+    }
+
     /// Waits for its end; its exit code, if no signal ended it.
     pub fn exit(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
@@ -283,7 +296,9 @@
     /// Reads the log up to a line with this text; what follows the text on it.
     pub fn wait_for_log(&self, text: &str) -> String {
         let mut line = String::new();
-        while std::io::BufRead::read_line(&mut *self.log.borrow_mut(), &mut line).unwrap() > 0 {
+        let mut log = self.log.borrow_mut();
+        let log = log.as_mut().expect("the log is read elsewhere");
+        while std::io::BufRead::read_line(log, &mut line).unwrap() > 0 {
             if let Some((_, after)) = line.split_once(text) {
                 return after.trim().to_owned();
             }
--- a/crates/node-emulator/src/discovery_catalog.rs
+++ b/crates/node-emulator/src/discovery_catalog.rs
@@ -34,6 +34,9 @@
     changed: Notify,
     /// Requests that wait for a change after the newest revision.
     waiting_requests: Cell<usize>,
+    /// Nothing is answered for now.
+    is_silent: Cell<bool>,
+    spoke_again: Notify,
 }
 
 /// Counts a request for as long as it waits.
@@ -81,6 +84,12 @@
         self.list.changed.notify_waiters();
     }
 
+    /// Falls silent, or speaks again: requests that came meanwhile are answered then.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.list.is_silent.set(is_silent);
+        self.list.spoke_again.notify_waiters();
+    }
+
     /// Requests of brokers that have all there is, and wait for more.
     pub fn waiting_requests(&self) -> usize {
         self.list.waiting_requests.get()
@@ -91,6 +100,9 @@
     let mut stream = BufReader::new(stream);
     while let Some(head) = read_head(&mut stream).await {
         let body = list.answer(request_path(&head)).await;
+        while list.is_silent.get() {
+            list.spoke_again.notified().await;
+        }
         if stream.write_all(ok_response(&body.to_string()).as_bytes()).await.is_err() {
             return;
         }
