--- /dev/null
+++ b/crates/broker-bench/src/fleet_size_benchmark.rs
@@ -0,0 +1,256 @@
+//! `measure fleet-size`: what one broker needs among 200 nodes and among sixteen times as many, on loopback sockets,
+//! with the same traffic. The bounds are those of the page on fleet sizes.
+
+use crate::broker_process::BrokerProcess;
+use node_emulator::{
+    DiscoveryCatalog, EventSender, HttpClient, PeerEvent, ScriptedNode, query_body, query_request,
+};
+use serde_json::{Value, json};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Instant, interval, sleep};
+
+const FEW_NODES: usize = 200;
+const MANY_NODES: usize = 3200;
+const PLACEMENT_GROUPS: usize = 12;
+const REPLICA_GROUPS: usize = 4;
+const SHARDS: u32 = 36;
+const SHARDS_PER_QUERY: u32 = 18;
+const CLIENTS: usize = 8;
+/// Of each client; together some tens a second, as a broker of a large fleet sees.
+const QUERY_INTERVAL: Duration = Duration::from_millis(200);
+const WORK: Duration = Duration::from_millis(20);
+const CHANGE_INTERVAL: Duration = Duration::from_millis(500);
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(250);
+const TIME_LEFT_MS: u64 = 2000;
+const BYTES_PER_KB: f64 = 1000.0;
+
+/// What a broker needed over the same time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Needs {
+    cpu_s: f64,
+    memory_mb: f64,
+    descriptors: f64,
+    connections: f64,
+    list_kb: f64,
+    share_served: f64,
+}
+
+/// A bound of the page: so many times what the smaller fleet took, a fixed part, and a part for each thousand nodes.
+struct Bound {
+    name: &'static str,
+    figure: fn(&Needs) -> f64,
+    factor: f64,
+    fixed: f64,
+    per_thousand_nodes: f64,
+}
+
+#[rustfmt::skip]
+const BOUNDS: &[Bound] = &[
+    Bound { name: "cpu_s",       figure: |n| n.cpu_s,       factor: 1.4, fixed: 0.02, per_thousand_nodes: 0.03 },
+    Bound { name: "memory_mb",   figure: |n| n.memory_mb,   factor: 1.5, fixed: 8.0,  per_thousand_nodes: 4.0 },
+    Bound { name: "descriptors", figure: |n| n.descriptors, factor: 2.0, fixed: 40.0, per_thousand_nodes: 0.0 },
+    Bound { name: "connections", figure: |n| n.connections, factor: 2.5, fixed: 40.0, per_thousand_nodes: 0.0 },
+    Bound { name: "list_kb",     figure: |n| n.list_kb,     factor: 2.0, fixed: 64.0, per_thousand_nodes: 500.0 },
+];
+/// The share served must not be under this part of the smaller fleet's.
+const LEAST_SHARE: f64 = 0.85;
+
+/// Plays both fleets and prints; whether the bounds were kept.
+pub fn measure(program: &Path, duration: Duration) -> io::Result<bool> {
+    let few = play_in_runtime(program, FEW_NODES, duration)?;
+    let many = play_in_runtime(program, MANY_NODES, duration)?;
+    let mut pass = many.share_served >= LEAST_SHARE * few.share_served;
+    println!(
+        "share served: {:.3} among {FEW_NODES}, {:.3} among {MANY_NODES}",
+        few.share_served, many.share_served
+    );
+    let mut figures =
+        json!({"share_served": [few.share_served, many.share_served], "nodes": [FEW_NODES, MANY_NODES]});
+    for Bound { name, figure, factor, fixed, per_thousand_nodes } in BOUNDS {
+        let (before, after) = (figure(&few), figure(&many));
+        let most = before * factor + fixed + per_thousand_nodes * MANY_NODES as f64 / 1000.0;
+        pass &= after <= most;
+        println!("{name:<12} {before:9.2} {after:9.2}   at most {most:9.2}");
+        figures[*name] = json!([before, after, most]);
+    }
+    println!("{}", json!({"measure": "fleet-size", "figures": figures, "pass": pass}));
+    Ok(pass)
+}
+
+fn play_in_runtime(program: &Path, nodes: usize, duration: Duration) -> io::Result<Needs> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, play(program, nodes, duration))
+}
+
+/// Nodes that answer after a time; counts the connections that were made to them.
+struct Fleet {
+    nodes: Rc<Vec<ScriptedNode>>,
+    connections: Rc<Cell<usize>>,
+}
+
+impl Fleet {
+    async fn start(count: usize) -> io::Result<Fleet> {
+        let (sender, mut events): (EventSender, _) = mpsc::unbounded_channel();
+        let mut nodes = Vec::new();
+        for index in 0..count {
+            nodes.push(ScriptedNode::start(index, sender.clone()).await?);
+        }
+        let fleet = Fleet { nodes: Rc::new(nodes), connections: Rc::default() };
+        let (nodes, connections) = (fleet.nodes.clone(), fleet.connections.clone());
+        spawn_local(async move {
+            let mut known: Vec<usize> = vec![0; count];
+            while let Some(received) = events.recv().await {
+                // Each connection carries something, and a node numbers its connections from 0.
+                let more = (received.connection + 1).saturating_sub(known[received.node]);
+                known[received.node] += more;
+                connections.set(connections.get() + more);
+                if let PeerEvent::Batch(shard_requests) = received.event {
+                    let nodes = nodes.clone();
+                    spawn_local(async move {
+                        sleep(WORK).await;
+                        for request in shard_requests {
+                            nodes[received.node].respond(received.connection, &request.id, 'S', "v").await;
+                        }
+                    });
+                }
+            }
+        });
+        Ok(fleet)
+    }
+
+    fn entry(&self, node: usize, phase: &str) -> Value {
+        json!({"id": format!("s-{node:08x}"), "host_port": self.nodes[node].address.to_string(),
+            "locality": "hall", "flavor": "std", "cell": node % PLACEMENT_GROUPS, "phase": phase,
+            "size": 1.0, "up_since_ms": 0})
+    }
+}
+
+async fn play(program: &Path, node_count: usize, duration: Duration) -> io::Result<Needs> {
+    let fleet = Fleet::start(node_count).await?;
+    let discovery = DiscoveryCatalog::start().await?;
+    for node in 0..node_count {
+        discovery.set(&format!("s-{node:08x}"), fleet.entry(node, "ready"));
+    }
+    let folder = std::env::temp_dir().join(format!("broker-bench-{}", std::process::id()));
+    std::fs::create_dir_all(&folder)?;
+    let file = folder.join("fleet-size.json");
+    std::fs::write(&file, config(&discovery.address.to_string()).to_string())?;
+    let mut broker = BrokerProcess::start(program, &file)?;
+    wait_until_ready(&broker).await;
+    let outcomes = Rc::<RefCell<Outcomes>>::default();
+    let until = Instant::now() + duration;
+    let clients =
+        (0..CLIENTS).map(|client| spawn_local(run_client(broker.listens, client, until, outcomes.clone())));
+    let clients: Vec<_> = clients.collect();
+    let descriptors = sample_while(&broker, &fleet, &discovery, until).await?;
+    for client in clients {
+        client.await.map_err(io::Error::other)?;
+    }
+    let Outcomes { served, asked } = *outcomes.borrow();
+    let needs = Needs {
+        cpu_s: broker.cpu_us()? / 1e6,
+        memory_mb: broker.peak_memory_kb()? / 1024.0,
+        descriptors: descriptors as f64,
+        connections: fleet.connections.get() as f64,
+        list_kb: discovery.bytes_sent() as f64 / BYTES_PER_KB,
+        share_served: served as f64 / asked.max(1) as f64,
+    };
+    broker.end();
+    std::fs::remove_dir_all(&folder)?;
+    Ok(needs)
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcomes {
+    served: usize,
+    asked: usize,
+}
+
+async fn wait_until_ready(broker: &BrokerProcess) {
+    loop {
+        if let Ok(mut client) = HttpClient::connect(broker.listens).await {
+            // A broker that is not there yet is asked again.
+            let _ = client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            if client.read_response().await.is_some_and(|response| response.status == 200) {
+                return;
+            }
+        }
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Lets a node drain and return now and then, and watches the descriptors; the most that there were.
+async fn sample_while(
+    broker: &BrokerProcess,
+    fleet: &Fleet,
+    discovery: &DiscoveryCatalog,
+    until: Instant,
+) -> io::Result<usize> {
+    let (mut samples, mut changes) = (interval(SAMPLE_INTERVAL), interval(CHANGE_INTERVAL));
+    let (mut most, mut change) = (0, 0);
+    while Instant::now() < until {
+        tokio::select! {
+            _ = samples.tick() => most = most.max(broker.descriptors()?),
+            _ = changes.tick() => {
+                let (node, phase) = (change / 2, ["draining", "ready"][change % 2]);
+                discovery.set(&format!("s-{node:08x}"), fleet.entry(node, phase));
+                change += 1;
+            }
+        }
+    }
+    Ok(most)
+}
+
+async fn run_client(
+    broker: std::net::SocketAddr,
+    client: usize,
+    until: Instant,
+    outcomes: Rc<RefCell<Outcomes>>,
+) {
+    let (mut ticks, mut kept, mut number) = (interval(QUERY_INTERVAL), None, 0);
+    while Instant::now() < until {
+        ticks.tick().await;
+        number += 1;
+        let first = (client + number) as u32;
+        let weight = 1.0 / f64::from(SHARDS_PER_QUERY);
+        let shards: Vec<(u32, f64)> =
+            (0..SHARDS_PER_QUERY).map(|at| ((first + at) % SHARDS, weight)).collect();
+        let text =
+            query_request(&format!("{client}x{number}"), "lookup", TIME_LEFT_MS, &query_body(&shards, "x"));
+        let status = exchange(broker, &mut kept, &text).await;
+        let mut outcomes = outcomes.borrow_mut();
+        outcomes.asked += 1;
+        outcomes.served += usize::from(status == Some(200));
+    }
+}
+
+async fn exchange(broker: std::net::SocketAddr, kept: &mut Option<HttpClient>, text: &str) -> Option<u16> {
+    let mut client = match kept.take() {
+        Some(client) => client,
+        None => HttpClient::connect(broker).await.ok()?,
+    };
+    client.write(text).await.ok()?;
+    let status = client.read_response().await?.status;
+    *kept = Some(client);
+    Some(status)
+}
+
+fn config(discovery: &str) -> Value {
+    json!({"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096},
+        "settings": {"Instances": 300, "PeriodMs": 5.0, "RegistryMode": "automatic", "Areas": ["hall"],
+            "Services": [{"Name": "lookup", "OnTimeMs": 1000.0, "DeadlineMs": 2000.0, "Worth": 1.0,
+                "Effect": "idempotent"}],
+            "Domain": {"Cells": PLACEMENT_GROUPS, "Reach": REPLICA_GROUPS, "Ranges": SHARDS, "PerCall": 8,
+                "CompleteFrom": [1.0], "MinShare": [1.0]},
+            "Limits": {"ConnIdleMs": 15000.0, "ConnectTimeoutMs": 250.0, "MaxAttempts": 3, "MaxOpen": 1000,
+                "MayCancel": true, "SecondCopies": true, "StreamsPerConn": 32, "RetryAfter": true},
+            "Rules": {"AskWithinMs": 10000.0, "StopSendingWithinMs": 250.0, "ColdFrom": 0.2,
+                "WarmUpMs": 17000.0, "OverloadFactor": 3.0, "OverloadForMs": 1000.0}}})
+}
--- a/crates/broker-bench/src/footprint_benchmark.rs
+++ b/crates/broker-bench/src/footprint_benchmark.rs
@@ -1,13 +1,12 @@
 //! `measure lean`: what the platform's program costs, beside an earlier build of it, in turn, on loopback
 //! sockets. Nothing is switched on: a feature that is off must cost nothing.
 
+use crate::broker_process::BrokerProcess;
 use node_emulator::{NodeServer, NodeSpec};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::time::{Duration, Instant};
 
 /// Rounds of both, and queries in each.
 const ROUNDS: usize = 7;
@@ -16,8 +15,6 @@
 /// machine.
 const CPU_BOUND: f64 = 1.05;
 const MEMORY_BOUND: f64 = 1.10;
-/// The kernel's clock ticks a second, as /proc counts CPU.
-const TICKS: f64 = 100.0;
 
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
@@ -66,17 +63,18 @@
     std::fs::create_dir_all(&folder).map_err(|e| e.to_string())?;
     let config: PathBuf = folder.join("config.json");
     std::fs::write(&config, self::config(address).to_string()).map_err(|e| e.to_string())?;
-    let mut broker = Broker::start(program, &config)?;
+    let mut broker = BrokerProcess::start(program, &config).map_err(|e| e.to_string())?;
     let mut client = BufReader::new(TcpStream::connect(broker.listens).map_err(|e| e.to_string())?);
     for no in 0..RETRIEVALS / 10 {
         ask(&mut client, &format!("w{no}")).map_err(|e| e.to_string())?;
     }
-    let before = broker.cpu_us()?;
+    let before = broker.cpu_us().map_err(|e| e.to_string())?;
     for no in 0..RETRIEVALS {
         ask(&mut client, &format!("r{no}")).map_err(|e| e.to_string())?;
     }
-    let cost =
-        Cost { cpu_us: (broker.cpu_us()? - before) / RETRIEVALS as f64, resident_kb: broker.resident_kb()? };
+    let cpu_us = broker.cpu_us().map_err(|e| e.to_string())? - before;
+    let resident_kb = broker.peak_memory_kb().map_err(|e| e.to_string())?;
+    let cost = Cost { cpu_us: cpu_us / RETRIEVALS as f64, resident_kb };
     broker.end();
     // What can't be tidied up is only a small file.
     let _ = std::fs::remove_dir_all(&folder);
@@ -98,68 +96,6 @@
                 "StreamsPerConn": 32}, "Rules": {}}})
 }
 
-struct Broker {
-    listens: SocketAddr,
-    child: Child,
-}
-
-impl Broker {
-    fn start(program: &Path, config: &Path) -> Result<Broker, String> {
-        let mut command = Command::new(program);
-        let mut child =
-            command.env("EDGE_CONFIG", config).stderr(Stdio::piped()).spawn().map_err(|e| e.to_string())?;
-        let stderr = child.stderr.take().ok_or("no standard error")?;
-        let mut broker = Broker { listens: SocketAddr::from(([127, 0, 0, 1], 0)), child };
-        let mut lines = BufReader::new(stderr).lines();
-        let until = Instant::now() + Duration::from_secs(10);
-        while Instant::now() < until {
-            let line = lines.next().ok_or("it ended")?.map_err(|e| e.to_string())?;
-            // Builds up to 076ab53 log it as `NAME serves on ADDRESS`.
-            let address = line.split_once("listen_address=").or_else(|| line.split_once("serves on "));
-            if let Some((_, address)) = address {
-                broker.listens = address.trim().parse().map_err(|_| "no address told")?;
-                std::thread::spawn(move || lines.for_each(drop));
-                return Ok(broker);
-            }
-        }
-        Err("it does not serve".to_owned())
-    }
-
-    fn proc(&self, file: &str) -> Result<String, String> {
-        std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).map_err(|e| e.to_string())
-    }
-
-    /// User's and system's time so far.
-    fn cpu_us(&self) -> Result<f64, String> {
-        let stat = self.proc("stat")?;
-        let fields: Vec<&str> = stat.rsplit(')').next().unwrap_or("").split_whitespace().collect();
-        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok());
-        // The 14th and 15th field, counted from before the name's end.
-        ticks(11)
-            .zip(ticks(12))
-            .map(|(user, system)| (user + system) / TICKS * 1e6)
-            .ok_or("no times told".to_owned())
-    }
-
-    fn resident_kb(&self) -> Result<f64, String> {
-        let status = self.proc("status")?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let figure = line.and_then(|line| line.split_whitespace().next()).and_then(|text| text.parse().ok());
-        figure.ok_or("no memory told".to_owned())
-    }
-
-    fn end(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Broker {
-    fn drop(&mut self) {
-        self.end();
-    }
-}
-
 fn ask(client: &mut BufReader<TcpStream>, id: &str) -> std::io::Result<()> {
     let body = r#"{"slices":[{"slice":3,"mass":0.5},{"slice":9,"mass":0.5}],"filter":"x"}"#;
     let request = format!(
--- a/crates/broker-bench/src/main.rs
+++ b/crates/broker-bench/src/main.rs
@@ -2,9 +2,11 @@
 //! figures are simulated. Exit codes of measures: 0 all bounds were kept; 1 one was not; 2 wrong arguments.
 
 mod baseline;
+mod broker_process;
 mod demo;
 mod fault_injector;
 mod fleet;
+mod fleet_size_benchmark;
 mod footprint_benchmark;
 mod invariants;
 mod loopback;
@@ -27,6 +29,7 @@
 use clap::{Parser, Subcommand, ValueEnum};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 #[derive(Parser)]
 #[command(
@@ -109,6 +112,8 @@
     Rehearsal,
     /// What a query costs the platform's program, beside an earlier build of it, in turn.
     Lean,
+    /// What one broker needs among 200 nodes and among 3,200, with the same traffic.
+    FleetSize,
 }
 
 #[derive(Clone, Copy, ValueEnum)]
@@ -166,6 +171,10 @@
         What::Trace => reader_benchmark::measure(rows, &day, seed),
         What::Rehearsal => simulation_benchmark::measure(&simulations),
         What::Lean => footprint_benchmark::measure(&program, &against),
+        What::FleetSize => {
+            let duration = Duration::from_secs(if matches!(size, Size::Small) { 8 } else { 30 });
+            fleet_size_benchmark::measure(&program, duration).map_err(|error| error.to_string())
+        }
     };
     match pass {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/node-emulator/src/discovery_catalog.rs
+++ b/crates/node-emulator/src/discovery_catalog.rs
@@ -37,6 +37,7 @@
     /// Nothing is answered for now.
     is_silent: Cell<bool>,
     spoke_again: Notify,
+    bytes_sent: Cell<usize>,
 }
 
 /// Counts a request for as long as it waits.
@@ -90,6 +91,11 @@
         self.list.spoke_again.notify_waiters();
     }
 
+    /// How many bytes its responses came to.
+    pub fn bytes_sent(&self) -> usize {
+        self.list.bytes_sent.get()
+    }
+
     /// Requests of brokers that have all there is, and wait for more.
     pub fn waiting_requests(&self) -> usize {
         self.list.waiting_requests.get()
@@ -103,7 +109,9 @@
         while list.is_silent.get() {
             list.spoke_again.notified().await;
         }
-        if stream.write_all(ok_response(&body.to_string()).as_bytes()).await.is_err() {
+        let response = ok_response(&body.to_string());
+        list.bytes_sent.set(list.bytes_sent.get() + response.len());
+        if stream.write_all(response.as_bytes()).await.is_err() {
             return;
         }
     }
--- /dev/null
+++ b/crates/routing/tests/fleet_size.rs
@@ -0,0 +1,99 @@
+//! One broker among few nodes and among sixteen times as many: the same traffic reaches nearly as few nodes.
+
+use routing::*;
+use rstest::rstest;
+use std::collections::BTreeSet;
+
+const GROUPS: u32 = 12;
+const SHARDS: u32 = 36;
+const SHARDS_PER_QUERY: u64 = 18;
+
+fn config() -> BrokerConfig {
+    let mut config = BrokerConfig { brokers: 300, period: Tenths(50), ..BrokerConfig::default() };
+    config.layout =
+        ShardLayout { placement_groups: GROUPS, replica_groups: 4, shards: SHARDS, max_batch_size: 8 };
+    (config.limits.max_open, config.limits.max_attempts) = (1000, 3);
+    let class = RequestClass {
+        latency_objective: Tenths(10_000),
+        deadline: Tenths(20_000),
+        min_coverage: 1.0,
+        complete_coverage: 1.0,
+        priority_weight: 1.0,
+        ..RequestClass::default()
+    };
+    config.classes.insert(ClassId(0), class);
+    config
+}
+
+fn endpoint(node: u64) -> Endpoint {
+    let placement_group = PlacementGroupId(node as u32 % GROUPS);
+    let (state, started_at) = (EndpointState::Ready, None);
+    Endpoint { node: NodeId(node), zone: ZoneId(0), placement_group, state, started_at }
+}
+
+fn query(number: u64) -> Vec<Input> {
+    let (id, group) = (QueryId(number * 100), GroupId(number as u32));
+    let mut inputs = vec![Input::Query(NewQuery {
+        id,
+        group,
+        class: ClassId(0),
+        tenant: TenantId(0),
+        time_left: Tenths(20_000),
+        work: Tenths::ZERO,
+        client_attempt: 0,
+        min_coverage_only: false,
+    })];
+    inputs.extend((0..SHARDS_PER_QUERY).map(|at| {
+        let (id, shard) = (ShardRequestId(number * 100 + 1 + at), ShardId((number + at) as u32 % SHARDS));
+        Input::ShardRequest(NewShardRequest { id, group, shard, weight: 1.0 / SHARDS_PER_QUERY as f64 })
+    }));
+    inputs
+}
+
+/// The nodes that are sent to.
+fn nodes_used(node_count: u64, seed: u64, queries: u64) -> BTreeSet<NodeId> {
+    let mut now = Tenths(1_000_000);
+    let mut broker = Broker::start(config(), seed, now);
+    let entries = (0..node_count).map(endpoint).collect();
+    let list = EndpointList { kind: EndpointListKind::Snapshot, wall_clock: now, entries };
+    broker.turn(now, &[Input::EndpointList(list)]);
+    let mut used = BTreeSet::new();
+    for number in 1..=queries {
+        now += Tenths(250);
+        let sent = broker.turn(now, &query(number));
+        now += Tenths(200);
+        let ends = sent.into_iter().filter_map(|effect| match effect {
+            Effect::Send { shard_request, node, .. } => Some((shard_request, node)),
+            _ => None,
+        });
+        let end = |(shard_request, node)| {
+            used.insert(node);
+            let (attempt, outcome) = (AttemptNumber(0), AttemptOutcome::Succeeded);
+            Input::AttemptEnded(AttemptResult {
+                shard_request,
+                attempt,
+                node,
+                outcome,
+                duration: Tenths(200),
+            })
+        };
+        let ends: Vec<Input> = ends.map(end).collect();
+        assert_eq!(ends.len() as u64, SHARDS_PER_QUERY);
+        broker.turn(now, &ends);
+    }
+    used
+}
+
+/// Each node that is used costs a connection, of which there may be 2.5 times as many, and 40.
+#[rstest]
+fn a_larger_fleet_takes_hardly_more_connections() {
+    let (few, many) = (nodes_used(200, 1, 200).len(), nodes_used(3200, 1, 200).len());
+    assert!(2 * many <= 5 * few + 2 * 40, "{few} nodes of 200, {many} of 3,200");
+}
+
+/// Brokers use different nodes of a large fleet, so that all of it serves.
+#[rstest]
+fn brokers_use_different_nodes_of_a_large_fleet() {
+    let used: BTreeSet<NodeId> = (1..=40).flat_map(|seed| nodes_used(3200, seed, 24)).collect();
+    assert!(used.len() > 2800, "{}", used.len());
+}
