A broker chooses among at most 64 replicas of a shard, so that its time does not grow with the fleet

Cause: every ready replica of a shard was scored for each shard request, 1,066 of them among 3,200 nodes. Change: past 64 replicas of a shard a broker takes them from each placement group in an order of its own, drawn by its seed and each node's id, which stays the same while both live; where some may not receive now, the next ones stand in. Under that nothing changes.

--- a/crates/routing/src/broker.rs
+++ b/crates/routing/src/broker.rs
@@ -30,6 +30,7 @@
             now,
             concurrency_limit: f64::from(config.limits.max_open) * COMMON_LIMIT_SHARE,
             endpoint_list_is_stale: true,
+            replica_draw: seed,
             ..BrokerState::default()
         };
         if config.watch_on_request {
--- a/crates/routing/src/effective_config.rs
+++ b/crates/routing/src/effective_config.rs
@@ -53,6 +53,8 @@
     pub(crate) retry_budget: RetryBudget,
     /// Of all classes.
     pub(crate) shortest_objective: Tenths,
+    /// So many replicas of one placement group are chosen among.
+    pub(crate) max_group_replicas: usize,
 }
 
 impl EffectiveConfig {
@@ -61,6 +63,7 @@
         broker: BrokerConfig,
         default_budget: RetryBudget,
         default_objective: Tenths,
+        max_group_replicas: usize,
     ) -> EffectiveConfig {
         let policies = broker.classes.iter().map(|(id, class)| (*id, Arc::new(ClassPolicy::of(class))));
         let classes: BTreeMap<ClassId, Arc<ClassPolicy>> = policies.collect();
@@ -69,6 +72,7 @@
             classes,
             retry_budget: broker.rules.retry_budget.clone().unwrap_or(default_budget),
             shortest_objective: shortest.unwrap_or(default_objective),
+            max_group_replicas,
             broker,
         }
     }
--- a/crates/routing/src/policy/configuration.rs
+++ b/crates/routing/src/policy/configuration.rs
@@ -9,7 +9,8 @@
 pub(crate) fn derive_config(config: BrokerConfig) -> EffectiveConfig {
     let floor = config.limits.max_attempts.into();
     let own = RetryBudget { floor, share: DEFAULT_RETRY_SHARE, window: SMOOTHING_SPAN };
-    EffectiveConfig::derive(config, own, SMOOTHING_SPAN)
+    let max_group_replicas = max_group_replicas(&config.layout);
+    EffectiveConfig::derive(config, own, SMOOTHING_SPAN, max_group_replicas)
 }
 
 impl Broker {
--- a/crates/routing/src/policy/cutoff.rs
+++ b/crates/routing/src/policy/cutoff.rs
@@ -52,8 +52,8 @@
             true => Tenths::ZERO,
             false => self.latency(node) + node.reported_wait(),
         };
-        let replicas = self.state.replicas_of(&query.config.broker.layout, shard_request);
-        let usable = replicas.filter(|id| self.may_receive(*id, shard_request));
+        let may_receive = |id| self.may_receive(id, shard_request);
+        let usable = self.state.replicas_of(&query.config, shard_request, may_receive);
         let shortest = usable.map(|id| wait(&self.state.nodes[&id])).min();
         let is_late = |wait: Tenths| self.state.now + wait.times(LATENCY_SPREAD) > query.times.objective_at;
         shortest.is_none_or(is_late)
--- a/crates/routing/src/policy/mod.rs
+++ b/crates/routing/src/policy/mod.rs
@@ -14,7 +14,7 @@
 pub(crate) use configuration::derive_config;
 
 use crate::broker::Broker;
-use crate::config::{BrokerConfig, Idempotency, RetryBudget};
+use crate::config::{BrokerConfig, Idempotency, RetryBudget, ShardLayout};
 use crate::effective_config::{ClassPolicy, EffectiveConfig};
 use crate::effects::Effect;
 use crate::ids::NodeId;
@@ -24,6 +24,7 @@
 use crate::state::{ShardRequestState, SupersededConfig, Timer};
 use crate::statistics::LossRatio;
 use crate::time::Tenths;
+use replica_choice::max_group_replicas;
 use std::sync::Arc;
 
 /// The design's pressure from which the cutoff sets in, the span over which pressure and latency are
--- a/crates/routing/src/policy/replica_choice.rs
+++ b/crates/routing/src/policy/replica_choice.rs
@@ -2,6 +2,16 @@
 
 use super::*;
 
+/// A broker chooses among so many replicas of a shard at the most, evenly from its placement groups. The largest usual
+/// fleet has hardly more (200 nodes in 12 groups, each shard in 4 of them: 67); past that the time that a choice takes,
+/// and the nodes that a broker meets, no longer grow with the fleet. Harm: a broker knows only its own part of it.
+const MAX_SHARD_REPLICAS: usize = 64;
+
+/// How many replicas of one placement group are chosen among.
+pub(super) fn max_group_replicas(layout: &ShardLayout) -> usize {
+    MAX_SHARD_REPLICAS.div_ceil(layout.replica_groups.max(1) as usize)
+}
+
 /// A node that left its probe unanswered counts as one with so many shard requests waiting.
 const UNREPORTED_QUEUE: f64 = 32.0;
 
@@ -9,9 +19,8 @@
     /// The replica rule: least smoothed latency x (own batches in flight + 1), where joining a batch of this
     /// turn opens no other. Close calls go to the own zone, then to a batch of this turn, then by chance.
     pub(super) fn choose_replica(&mut self, query: &Query, shard_request: &ShardRequest) -> Option<NodeId> {
-        let replicas = self.state.replicas_of(&query.config.broker.layout, shard_request);
-        let idle = replicas.filter(|id| !shard_request.is_in_flight_at(*id));
-        let usable: Vec<NodeId> = idle.filter(|id| self.may_receive(*id, shard_request)).collect();
+        let is_usable = |id| !shard_request.is_in_flight_at(id) && self.may_receive(id, shard_request);
+        let usable: Vec<NodeId> = self.state.replicas_of(&query.config, shard_request, is_usable).collect();
         let all_tried = usable.iter().all(|id| shard_request.has_tried(*id));
         let untried = usable.into_iter().filter(|id| all_tried || !shard_request.has_tried(*id));
         let scored: Vec<(f64, NodeId)> = untried.map(|id| (self.score(&self.state.nodes[&id]), id)).collect();
--- a/crates/routing/src/state/broker.rs
+++ b/crates/routing/src/state/broker.rs
@@ -3,7 +3,7 @@
 use super::attempt::{AttemptId, ConnectionUse, InFlightAttempt};
 use super::node::{LoadReport, Node};
 use super::query::{Query, QuerySignature};
-use crate::config::ShardLayout;
+use super::replica_group::ReplicaGroup;
 use crate::effective_config::EffectiveConfig;
 use crate::effects::Effect;
 use crate::ids::{BatchId, ClassId, GroupId, NodeId, PlacementGroupId, QueryId, ShardRequestId};
@@ -112,7 +112,9 @@
 
     pub(crate) nodes: BTreeMap<NodeId, Node>,
     /// The ready nodes of each placement group.
-    pub(crate) replicas_by_group: BTreeMap<PlacementGroupId, BTreeSet<NodeId>>,
+    pub(crate) replicas_by_group: BTreeMap<PlacementGroupId, ReplicaGroup>,
+    /// Seeds the order in which this broker takes the replicas of a large group.
+    pub(crate) replica_draw: u64,
     pub(crate) ready_nodes: usize,
     /// Ready nodes whose latency is known, and the sum of their latencies.
     pub(crate) measured_nodes: usize,
@@ -331,15 +333,16 @@
             let is_asked = node.probe_sent_at.is_some_and(|at| now - at <= objective);
             !is_asked && node.load.is_none_or(|load| now - load.received_at > max_age)
         };
-        let layout = &query.config.broker.layout;
-        query.shard_requests.iter().flat_map(|s| self.replicas_of(layout, s)).filter(is_unknown).collect()
+        let config = &query.config;
+        let replicas = query.shard_requests.iter().flat_map(|s| self.replicas_of(config, s, |_| true));
+        replicas.filter(is_unknown).collect()
     }
 
     /// A replica of a query's shards owes a load report.
     pub(crate) fn any_replica_owes_load(&self, query: &Query) -> bool {
         let is_asked = |id: NodeId| self.nodes[&id].probe_sent_at.is_some();
-        let layout = &query.config.broker.layout;
-        query.shard_requests.iter().any(|s| self.replicas_of(layout, s).any(is_asked))
+        let config = &query.config;
+        query.shard_requests.iter().any(|s| self.replicas_of(config, s, |_| true).any(is_asked))
     }
 
     /// What the attempts that went to a warming node since then cost it, in tenths of a millisecond.
@@ -347,13 +350,17 @@
         node.slow_start_sent_since(from).map(|class| self.baseline_latency(class, unknown)).sum()
     }
 
-    /// The ready nodes that hold a shard request's shard.
+    /// The ready nodes that hold a shard request's shard and are usable: so many of each placement group as
+    /// the configuration says, by this broker's own draw.
     pub(crate) fn replicas_of<'a>(
         &'a self,
-        layout: &'a ShardLayout,
+        config: &'a EffectiveConfig,
         shard_request: &ShardRequest,
+        is_usable: impl Fn(NodeId) -> bool + Copy + 'a,
     ) -> impl Iterator<Item = NodeId> + 'a {
-        let groups = layout.groups_of(shard_request.shard);
-        groups.filter_map(|group| self.replicas_by_group.get(&group)).flatten().copied()
+        let most = config.max_group_replicas;
+        let groups = config.broker.layout.groups_of(shard_request.shard);
+        let groups = groups.filter_map(|group| self.replicas_by_group.get(&group));
+        groups.flat_map(move |group| group.candidates(most).filter(move |id| is_usable(*id)).take(most))
     }
 }
--- a/crates/routing/src/state/mod.rs
+++ b/crates/routing/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod node_table;
 mod query;
 mod query_table;
+mod replica_group;
 
 pub(crate) use attempt::{AttemptId, ConnectionAfterIdle, ConnectionUse, Execution, InFlightAttempt};
 pub(crate) use broker::{BrokerState, ClassYield, SupersededConfig, Timer};
--- a/crates/routing/src/state/node_table.rs
+++ b/crates/routing/src/state/node_table.rs
@@ -56,10 +56,11 @@
         entered.sum += after.latency;
         let has_moved = group_before != group;
         if before.ready == 1 && (after.ready == 0 || has_moved) {
-            self.replicas_by_group.get_mut(&group_before).into_iter().for_each(|nodes| _ = nodes.remove(&id));
+            let (group, draw) = (self.replicas_by_group.get_mut(&group_before), self.replica_draw);
+            group.into_iter().for_each(|nodes| nodes.remove(draw, id));
         }
         if after.ready == 1 && (before.ready == 0 || has_moved) {
-            self.replicas_by_group.entry(group).or_default().insert(id);
+            self.replicas_by_group.entry(group).or_default().insert(self.replica_draw, id);
         } else if after.ready == 0 && is_idle && self.nodes[&id].state == EndpointState::Removed {
             self.nodes.remove(&id);
         }
