review: a response with a length that is too small is served cut off

Cause: a response counts as confirmed when nothing is buffered behind it, or when what follows holds a control character; neither says that its length was right.

--- a/review/peers/peers.rs
+++ b/review/peers/peers.rs
@@ -409,8 +409,15 @@
     pub at: Instant,
 }
 
-/// Makes the bytes that a node writes for a part.
-pub type Reply = Arc<dyn Fn(&Part) -> Vec<u8> + Send + Sync>;
+/// What a node writes for a part, in one write.
+pub struct Written {
+    pub bytes: Vec<u8>,
+    /// Whether the answer is spoilt: the connection stays open then, and the node writes nothing more on it.
+    pub is_spoilt: bool,
+}
+
+/// Makes what a node writes for a part.
+pub type Reply = Arc<dyn Fn(&Part) -> Written + Send + Sync>;
 
 pub struct Node {
     pub name: String,
@@ -444,7 +451,10 @@
     reply: &Reply,
 ) -> Option<()> {
     let _ = stream.set_nodelay(true);
-    let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
+    let writer = Arc::new(Mutex::new(Some(stream.try_clone().ok()?)));
+    let write = |writer: &Mutex<Option<TcpStream>>, bytes: &[u8]| {
+        writer.lock().unwrap().as_mut().is_none_or(|stream| stream.write_all(bytes).is_ok())
+    };
     loop {
         let mut length = [0; 4];
         stream.read_exact(&mut length).ok()?;
@@ -459,12 +469,19 @@
                     let (writer, reply) = (writer.clone(), reply.clone());
                     thread::spawn(move || {
                         thread::sleep(work);
-                        let _ = writer.lock().unwrap().write_all(&reply(&part));
+                        let mut open = writer.lock().unwrap();
+                        if let Some(stream) = open.as_mut() {
+                            let written = reply(&part);
+                            let _ = stream.write_all(&written.bytes);
+                            if written.is_spoilt {
+                                *open = None;
+                            }
+                        }
                     });
                 }
             }
-            b'3' => writer.lock().unwrap().write_all(&frame_of(b"3S")).ok()?,
-            b'4' => writer.lock().unwrap().write_all(&frame_of(b"4queue=0")).ok()?,
+            b'3' => write(&writer, &frame_of(b"3S")).then_some(())?,
+            b'4' => write(&writer, &frame_of(b"4queue=0")).then_some(())?,
             _ => {} // A part is given up: running work goes on, and is answered all the same.
         }
     }
@@ -494,6 +511,11 @@
     format!("5{} S 1840277719 queue=0\n{value}", part.id).into_bytes()
 }
 
+/// Makes a good answer.
+pub fn good(part: &Part, value: &str) -> Written {
+    Written { bytes: frame_of(&served(part, value)), is_spoilt: false }
+}
+
 // ---- discovery
 
 struct Catalog {
