--- a/review/peers/peers.rs
+++ b/review/peers/peers.rs
@@ -269,7 +269,9 @@
             if left.is_zero() {
                 return Err(NO_ANSWER.to_owned());
             }
-            self.stream.set_read_timeout(Some(left)).map_err(|e| e.to_string())?;
+            // Long time-outs of a socket end late, so a long wait is made of short ones.
+            let wait = left.min(Duration::from_millis(20));
+            self.stream.set_read_timeout(Some(wait)).map_err(|e| e.to_string())?;
             let mut buffer = [0; 65536];
             match self.stream.read(&mut buffer) {
                 Ok(0) => return Err("closed without a whole answer".to_owned()),
@@ -325,7 +327,8 @@
             Ok(client) => client,
             Err(error) => return failed(id, format!("not connected: {error}")),
         };
-        client.send(request);
+        let is_written = client.send(request);
+        note(format!("{id}: {} a new connection", if is_written { "written to" } else { "not written to" }));
         match client.answer(until.saturating_duration_since(Instant::now())) {
             Ok(answer) => self.answered(id, client, answer),
             Err(error) => failed(id, error),
