broker: one counter for held memory, and a log line when it nearly runs out

Four explanations stood side by side: buffers of requests that are handled, buffers of connections after their last response, bodies beyond what was reserved, and memory that was freed but not returned.

Change: `MemoryBudget` moves out of the engine, so that the HTTP server and the node pool can share it, and a `Reservation` releases its bytes on drop. A response keeps its reservation until it is converted. `memory nearly used up` (over three quarters, once a second at most) has the resident memory, what is reserved, and the connections in each state with what was read for them.

--- a/crates/broker/src/engine/dispatch.rs
+++ b/crates/broker/src/engine/dispatch.rs
@@ -5,9 +5,10 @@
 
 use super::attempt_table::InFlightAttempt;
 use super::batches::split_into_batches;
-use super::query_table::NextAttempt;
+use super::query_table::{NextAttempt, RemovedQuery};
 use super::{Engine, QueryOutcome, ShardResponse};
 use crate::codec::ShardRequestMessage;
+use crate::memory_budget::Reservation;
 use crate::node_pool::{AttemptId, AttemptToSend};
 use routing::{
     AttemptNumber, AttemptOutcome, AttemptResult, Effect, Input, LogEvent, NodeId, QueryId, ShardRequestId,
@@ -47,12 +48,16 @@
                 self.nodes.cancel(attempt, AttemptOutcome::Cancelled);
             }
             Effect::Respond { query, complete } => {
-                self.finish(query, |responses| QueryOutcome::Response { complete, responses });
+                self.finish(query, |responses, memory| QueryOutcome::Response {
+                    complete,
+                    responses,
+                    memory,
+                });
             }
             Effect::Reject { query, retry_after } => {
-                self.finish(query, |_| QueryOutcome::Rejected { retry_after });
+                self.finish(query, |_, _| QueryOutcome::Rejected { retry_after });
             }
-            Effect::Fail { query } => self.finish(query, |_| QueryOutcome::Failed),
+            Effect::Fail { query } => self.finish(query, |_, _| QueryOutcome::Failed),
             Effect::Probe { node } => self.nodes.probe(node),
             Effect::CloseIdle { node } => self.nodes.close_idle(node),
             Effect::Wake { after } => self.schedule_wake_up(now + after),
@@ -67,11 +72,15 @@
         self.wake_at.set(Some(wake_at));
     }
 
-    /// Ends a query with the outcome that `outcome` builds from its responses. Has no effect if the query has already
-    /// ended.
-    pub(super) fn finish(&self, id: QueryId, outcome: impl FnOnce(Vec<ShardResponse>) -> QueryOutcome) {
-        if let Some(closed) = self.close(id) {
-            closed.query.finish(outcome(closed.responses), self.clock.now());
+    /// Ends a query with the outcome that `outcome` builds from its responses and their memory. Has no effect if the
+    /// query has already ended.
+    pub(super) fn finish(
+        &self,
+        id: QueryId,
+        outcome: impl FnOnce(Vec<ShardResponse>, Reservation) -> QueryOutcome,
+    ) {
+        if let Some(RemovedQuery { query, responses, responses_memory, .. }) = self.close(id) {
+            query.finish(outcome(responses, responses_memory), self.clock.now());
         }
     }
 
--- a/crates/broker/src/engine/handles.rs
+++ b/crates/broker/src/engine/handles.rs
@@ -1,23 +1,10 @@
-//! Handles that front ends hold: an accepted query and reserved memory. Dropping them cancels the query or releases
-//! the memory.
+//! The handle that a front end holds of an accepted query. Dropping it cancels the query.
 
 use super::{Engine, QueryOutcome};
 use routing::QueryId;
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
-/// A reservation of memory, which is released on drop.
-pub struct ReservedMemory {
-    pub(super) engine: Rc<Engine>,
-    pub(super) bytes: usize,
-}
-
-impl Drop for ReservedMemory {
-    fn drop(&mut self) {
-        self.engine.release_memory(self.bytes);
-    }
-}
-
 /// An accepted query that has no outcome yet. Dropping the handle cancels the query.
 pub struct AcceptedQuery {
     pub(super) engine: Rc<Engine>,
--- a/crates/broker/src/engine/mod.rs
+++ b/crates/broker/src/engine/mod.rs
@@ -35,7 +35,6 @@
 //! - Dropping an [`AcceptedQuery`] before its outcome means that the client has disconnected, and closes the query.
 //!   Attempts of which no byte was written are not sent. The routing logic receives [`Input::ClientLeft`] and cancels
 //!   the others.
-//! - Dropping a [`ReservedMemory`] releases its bytes.
 //! - When a query ends, its attempts in flight remain in the `attempt_table` until each has ended. Their results are
 //!   still passed to the routing logic, which uses them to update its estimates.
 //! - [`Engine::run`] must not be dropped while queries are open, because no other task would end them.
@@ -48,7 +47,6 @@
 mod event_loop;
 mod handles;
 mod id_registry;
-mod memory_budget;
 mod open_query;
 mod query;
 mod query_table;
@@ -59,11 +57,12 @@
 #[cfg(test)]
 mod tests;
 
-pub use handles::{AcceptedQuery, ReservedMemory};
+pub use handles::AcceptedQuery;
 pub use query::{QueryOutcome, QueryRequest, RequestedShard, ShardResponse, SubmitError};
 
 use crate::config_epoch::ConfigEpoch;
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use crate::node_pool::NodePool;
 use admission_control::AdmissionConfig;
 use attempt_table::AttemptTable;
@@ -88,6 +87,8 @@
     routing_logic: RefCell<RoutingLogic>,
     /// Inputs queued since the last turn of the event loop.
     inputs: RefCell<Vec<Input>>,
+    /// The memory that queries, clients and nodes share.
+    memory: Rc<MemoryBudget>,
     queries: RefCell<QueryTable>,
     attempts: RefCell<AttemptTable>,
     /// The ids of nodes and zones.
@@ -119,18 +120,20 @@
         let BrokerSettings { broker_config, zones, .. } = broker_settings;
         let clock = BrokerClock::start(started_at);
         let routing_logic = RoutingLogic::new(broker_config, seed, clock.start_time(), admission);
+        let memory = MemoryBudget::new(limits.max_held_bytes);
         Rc::new(Engine {
             clock,
             nodes: NodePool::new(limits.clone()),
             routing_logic: RefCell::new(routing_logic),
             inputs: RefCell::new(vec![Input::Woken]),
-            queries: RefCell::new(QueryTable::new(limits.max_held_bytes)),
+            queries: RefCell::new(QueryTable::new(memory.clone())),
             attempts: RefCell::default(),
             ids: RefCell::new(IdRegistry::new(zones)),
             epoch: RefCell::new(epoch),
             wake_at: Cell::default(),
             work_ready: Notify::new(),
             watch_requested: Notify::new(),
+            memory,
             limits,
         })
     }
@@ -162,6 +165,16 @@
         self.nodes.in_flight()
     }
 
+    /// Returns the memory that queries, clients and nodes share.
+    pub fn memory(&self) -> &Rc<MemoryBudget> {
+        &self.memory
+    }
+
+    /// Returns the number of connections to nodes.
+    pub fn node_connection_count(&self) -> usize {
+        self.nodes.count_connections()
+    }
+
     /// Returns the number of attempts in flight.
     pub fn in_flight_count(&self) -> usize {
         self.nodes.count_in_flight()
--- a/crates/broker/src/engine/open_query.rs
+++ b/crates/broker/src/engine/open_query.rs
@@ -2,6 +2,7 @@
 
 use super::QueryOutcome;
 use crate::config_epoch::ConfigEpoch;
+use crate::memory_budget::Reservation;
 use bytes::Bytes;
 use routing::{QueryId, ShardId, ShardRequestId, Timestamp};
 use std::rc::Rc;
@@ -23,8 +24,8 @@
     pub(super) shard_requests: Vec<ShardRequestId>,
     /// The query text that is sent with every shard request.
     pub(super) text: Bytes,
-    /// The memory reserved for the query, excluding its responses.
-    pub(super) held_bytes: usize,
+    /// The memory of the query, excluding its responses.
+    pub(super) _memory: Reservation,
     /// Sends the outcome to the front end.
     pub(super) outcome: oneshot::Sender<QueryOutcome>,
 }
@@ -63,5 +64,12 @@
     /// The number of attempts started so far.
     pub(super) attempts: u16,
     /// The first response received.
-    pub(super) response: Option<Bytes>,
+    pub(super) response: Option<StoredResponse>,
+}
+
+/// A response that is held until its query ends.
+pub(super) struct StoredResponse {
+    pub(super) value: Bytes,
+    /// The memory of the value.
+    pub(super) memory: Reservation,
 }
--- a/crates/broker/src/engine/query.rs
+++ b/crates/broker/src/engine/query.rs
@@ -1,5 +1,6 @@
 //! The types that front ends and the engine exchange for a query.
 
+use crate::memory_budget::Reservation;
 use bytes::Bytes;
 use routing::{ClassId, ShardId, TenantId, TimeSpan};
 use tokio::time::Instant;
@@ -52,6 +53,8 @@
         complete: bool,
         /// The responses, one for each shard that was read successfully.
         responses: Vec<ShardResponse>,
+        /// The memory of the responses.
+        memory: Reservation,
     },
     /// The query was rejected, and the client may send it again without the risk of executing it twice.
     Rejected {
--- a/crates/broker/src/engine/query_table.rs
+++ b/crates/broker/src/engine/query_table.rs
@@ -1,9 +1,9 @@
 //! The table of open queries and their shard requests, with limits on their number and memory.
 
-use super::memory_budget::MemoryBudget;
-use super::open_query::{OpenQuery, OpenShardRequest};
+use super::open_query::{OpenQuery, OpenShardRequest, StoredResponse};
 use super::{QueryOutcome, QueryRequest, ShardResponse, SubmitError};
 use crate::config_epoch::ConfigEpoch;
+use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::node_pool::AttemptId;
 use bytes::Bytes;
 use routing::{AttemptNumber, QueryId, ShardId, ShardRequestId, Timestamp};
@@ -35,6 +35,8 @@
     pub(super) attempts: Vec<AttemptId>,
     /// The responses, in the order of the shard requests.
     pub(super) responses: Vec<ShardResponse>,
+    /// The memory of the responses.
+    pub(super) responses_memory: Reservation,
 }
 
 /// A further attempt of a shard request, with the contents of its frame.
@@ -57,22 +59,22 @@
     last_id: u64,
     /// The number of open shard requests without a response.
     unanswered_shard_requests: usize,
-    /// The memory used by queries, responses and reservations.
-    memory: MemoryBudget,
+    /// The memory that queries, clients and nodes share.
+    memory: Rc<MemoryBudget>,
     /// Whether queries may be opened. `false` after [`QueryTable::stop_accepting`].
     accepts_queries: bool,
 }
 
 impl QueryTable {
-    /// Creates an empty table. `max_held_bytes` limits the bytes of queries, responses and reservations together.
-    pub(super) fn new(max_held_bytes: usize) -> QueryTable {
+    /// Creates an empty table, whose queries and responses reserve their bytes in `memory`.
+    pub(super) fn new(memory: Rc<MemoryBudget>) -> QueryTable {
         QueryTable {
             queries: HashMap::new(),
             shard_requests: HashMap::new(),
             wire_ids: HashSet::new(),
             last_id: 0,
             unanswered_shard_requests: 0,
-            memory: MemoryBudget::new(max_held_bytes),
+            memory,
             accepts_queries: true,
         }
     }
@@ -113,8 +115,7 @@
         if !self.wire_ids.insert(request.id.clone()) {
             return Err(SubmitError::DuplicateId);
         }
-        let held_bytes = held_bytes(request);
-        self.memory.reserve(held_bytes);
+        let memory = self.memory.reserve(held_bytes(request));
         let id = QueryId(self.next_id());
         let shard_requests = self.open_shard_requests(id, request);
         let (sender, outcome) = oneshot::channel();
@@ -126,7 +127,7 @@
             deadline: times.deadline,
             shard_requests: shard_requests.clone(),
             text: request.text.clone(),
-            held_bytes,
+            _memory: memory,
             outcome: sender,
         };
         self.queries.insert(id, query);
@@ -160,21 +161,21 @@
         let query = self.queries.remove(&id)?;
         let mut attempts = Vec::new();
         let mut responses = Vec::with_capacity(query.shard_requests.len());
+        let mut responses_memory = self.memory.reserve(0);
         for shard_request_id in &query.shard_requests {
             let Some(shard_request) = self.shard_requests.remove(shard_request_id) else { continue };
             let numbers = (0..shard_request.attempts).map(AttemptNumber);
             attempts.extend(numbers.map(|number| AttemptId { shard_request: *shard_request_id, number }));
             match shard_request.response {
-                Some(response) => {
-                    self.memory.release(response.len());
-                    responses.push(ShardResponse { shard: shard_request.shard, value: response });
+                Some(StoredResponse { value, memory }) => {
+                    responses_memory.merge(memory);
+                    responses.push(ShardResponse { shard: shard_request.shard, value });
                 }
                 None => self.unanswered_shard_requests -= 1,
             }
         }
-        self.memory.release(query.held_bytes);
         self.wire_ids.remove(&query.wire_id);
-        Some(RemovedQuery { query, attempts, responses })
+        Some(RemovedQuery { query, attempts, responses, responses_memory })
     }
 
     /// Returns whether the query of a shard request is still open.
@@ -218,25 +219,13 @@
         if shard_request.response.is_some() {
             return true;
         }
-        if !self.memory.try_reserve(response.len()) {
-            return false;
-        }
+        let Some(memory) = self.memory.try_reserve(response.len()) else { return false };
         // A slice would keep the connection's entire read buffer allocated, so the response is copied.
-        shard_request.response = Some(Bytes::copy_from_slice(response));
+        shard_request.response = Some(StoredResponse { value: Bytes::copy_from_slice(response), memory });
         self.unanswered_shard_requests -= 1;
         true
     }
 
-    /// Reserves bytes until [`QueryTable::release_bytes`]. Returns `false` if that would exceed the memory limit.
-    pub(super) fn reserve_bytes(&mut self, bytes: usize) -> bool {
-        self.memory.try_reserve(bytes)
-    }
-
-    /// Releases bytes that [`QueryTable::reserve_bytes`] has reserved.
-    pub(super) fn release_bytes(&mut self, bytes: usize) {
-        self.memory.release(bytes);
-    }
-
     /// Returns the ids of all open shard requests, in arbitrary order.
     #[cfg(test)]
     pub(super) fn shard_request_ids(&self) -> Vec<ShardRequestId> {
--- a/crates/broker/src/engine/submission.rs
+++ b/crates/broker/src/engine/submission.rs
@@ -1,7 +1,7 @@
-//! The engine's interface for front ends, which submit and abandon queries and reserve memory.
+//! The engine's interface for front ends, which submit and abandon queries.
 
 use super::query_table::{OpenedQuery, QueryTimes, RemovedQuery};
-use super::{AcceptedQuery, Engine, QueryOutcome, QueryRequest, RequestedShard, ReservedMemory, SubmitError};
+use super::{AcceptedQuery, Engine, QueryOutcome, QueryRequest, RequestedShard, SubmitError};
 use routing::{AttemptOutcome, GroupId, Input, NewQuery, NewShardRequest, QueryId, TimeSpan};
 use std::rc::Rc;
 
@@ -75,21 +75,9 @@
     pub fn fail_open_queries(&self) -> usize {
         let open = self.queries.borrow_mut().stop_accepting();
         for id in &open {
-            self.finish(*id, |_| QueryOutcome::Failed);
+            self.finish(*id, |_, _| QueryOutcome::Failed);
             self.push_input(Input::ClientLeft(*id));
         }
         open.len()
     }
-
-    /// Reserves memory for a request body before its query is submitted. Returns `None` if that would exceed the
-    /// memory limit.
-    pub fn reserve_memory(self: &Rc<Self>, bytes: usize) -> Option<ReservedMemory> {
-        let is_reserved = self.queries.borrow_mut().reserve_bytes(bytes);
-        is_reserved.then(|| ReservedMemory { engine: self.clone(), bytes })
-    }
-
-    /// Releases bytes that [`Engine::reserve_memory`] has reserved.
-    pub(super) fn release_memory(&self, bytes: usize) {
-        self.queries.borrow_mut().release_bytes(bytes);
-    }
 }
--- a/crates/broker/src/http_server/accepting.rs
+++ b/crates/broker/src/http_server/accepting.rs
@@ -45,6 +45,7 @@
                 _ = sweep.tick() => {
                     self.close_slow_connections();
                     self.report_rejected_requests();
+                    self.report_memory();
                 }
                 () = sleep_until(accept_pause.unwrap_or_else(Instant::now)), if accept_pause.is_some() => {
                     accept_pause = None;
--- a/crates/broker/src/http_server/connection.rs
+++ b/crates/broker/src/http_server/connection.rs
@@ -133,6 +133,16 @@
             && self.write_blocked_since.get().is_none()
     }
 
+    /// Returns whether the beginning of a request has been read that is not being handled yet.
+    pub fn is_reading_request(&self) -> bool {
+        matches!(self.state.get(), ConnectionState::ReadingRequest { .. })
+    }
+
+    /// Returns the number of bytes read for the current request; `usize::MAX` once the limit has been reached.
+    pub fn bytes_read(&self) -> usize {
+        self.bytes_read.get()
+    }
+
     /// Returns whether a request is being handled.
     pub fn is_handling_request(&self) -> bool {
         matches!(self.state.get(), ConnectionState::HandlingRequest { .. })
--- a/crates/broker/src/http_server/mod.rs
+++ b/crates/broker/src/http_server/mod.rs
@@ -19,6 +19,7 @@
 mod accepting;
 mod closing;
 mod connection;
+mod memory_report;
 mod routes;
 mod serving;
 mod watched_stream;
@@ -38,6 +39,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 use watched_stream::WatchedStream;
 
 /// The input of the HTTP library's service: a client's socket, without its address.
@@ -57,6 +59,8 @@
     connection_closed: Notify,
     /// Whether the server is closing, in which case each response closes its connection.
     is_closing: Cell<bool>,
+    /// The time of the last log line about memory.
+    memory_reported_at: Cell<Option<Instant>>,
     /// Notified when the server should stop accepting connections.
     close_requested: Notify,
     /// Notified when the server has stopped accepting connections.
@@ -71,6 +75,7 @@
             connections: RefCell::default(),
             connection_closed: Notify::new(),
             is_closing: Cell::default(),
+            memory_reported_at: Cell::default(),
             close_requested: Notify::new(),
             listener_closed: Notify::new(),
         })
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -7,6 +7,7 @@
 //! | [`node_pool`], [`codec`] | connections to nodes; the encoding and decoding of their frames |
 //! | [`discovery`], [`endpoint_list`] | requests for the endpoint list; the format of the list |
 //! | [`limits`] | sizes, counts and times, derived from the machine and the settings |
+//! | [`memory_budget`] | the memory that queries, clients and nodes share |
 //! | `startup`, `running`, `reload`, `shutdown` | the life cycle of the process |
 //! | `command`, `program` | the command line |
 //! | `config_rollout` | delivery of configuration versions to the engine |
@@ -41,7 +42,9 @@
 mod io_errors;
 pub mod limits;
 mod logging;
+pub mod memory_budget;
 pub mod node_pool;
+mod process_memory;
 mod program;
 pub mod query_handler;
 mod reload;
--- a/crates/broker/src/limits/mod.rs
+++ b/crates/broker/src/limits/mod.rs
@@ -17,7 +17,7 @@
 pub use node_limits::NodeLimits;
 pub use request_limits::RequestLimits;
 
-use machine::Capacity;
+use machine::{Capacity, KIB};
 use routing::TimeSpan;
 use settings::BrokerSettings;
 use std::time::Duration;
@@ -33,6 +33,8 @@
     pub nodes: NodeLimits,
     /// The limits of requests to discovery.
     pub discovery: DiscoveryLimits,
+    /// The memory that the process may use.
+    pub memory_bytes: usize,
     /// The maximum memory for open queries, their responses and request bodies.
     pub max_held_bytes: usize,
     /// The minimum time between two turns of the routing logic.
@@ -53,6 +55,7 @@
             requests: RequestLimits::default(),
             nodes: NodeLimits::new(&capacity, broker_settings),
             discovery: DiscoveryLimits::new(&capacity, config),
+            memory_bytes: machine.memory_mb * KIB * KIB,
             max_held_bytes: capacity.held_bytes,
             turn_period: config.period,
         })
--- a/crates/broker/src/node_pool/connection_choice.rs
+++ b/crates/broker/src/node_pool/connection_choice.rs
@@ -62,7 +62,8 @@
             .collect()
     }
 
-    fn count_connections(&self) -> usize {
+    /// Returns the number of connections to all nodes.
+    pub fn count_connections(&self) -> usize {
         self.connections.borrow().values().map(Vec::len).sum()
     }
 
--- a/crates/broker/src/query_handler.rs
+++ b/crates/broker/src/query_handler.rs
@@ -81,7 +81,7 @@
         on_body_complete: impl FnOnce(),
     ) -> Result<Response<Bytes>, RequestError> {
         let length = self.body_length_to_reserve(&request)?;
-        let Some(reserved_memory) = self.engine.reserve_memory(length) else {
+        let Some(reserved_memory) = self.engine.memory().try_reserve(length) else {
             return Ok(rejection_response(self.engine.epoch().retry_after));
         };
         let body = self.read_body_in_time(&mut request, arrived).await?;
@@ -127,7 +127,7 @@
     /// Returns the response for an outcome.
     fn response_to(&self, outcome: QueryOutcome) -> Response<Bytes> {
         match outcome {
-            QueryOutcome::Response { complete, responses } => {
+            QueryOutcome::Response { complete, responses, memory: _memory } => {
                 responses::query_response(complete, &responses, self.limits.requests.max_response_bytes)
             }
             QueryOutcome::Rejected { retry_after } => rejection_response(retry_after),
