broker: memory of connections is bounded and counted in one place

Usual clients with long queries and values did the same, more slowly.

Cause: the HTTP library reads a socket until it is empty, up to 128 KiB, before it decodes or drops what it read, and keeps that buffer until the connection ends. 48 KiB were counted for a connection.

Sockets of clients are read in small parts, each decoded before the next; responses are buffered in parts of 4 KiB. What may be longer is reserved in the shared budget before it is held: bodies in steps, heads over 6 KiB, values until they are written to the client, frames over 4 KiB in either direction. Heads of requests are dropped before the query waits. A response that is too long is not built.

Why it works: whatever a client or node sends, the library's buffers stay at their initial size, and everything else is in one budget with a limit.

Evidence: `memory_limit` in the sockets tests, at 32 MB and 512 descriptors, six kinds of bad clients and usual ones with long queries.

--- a/crates/broker/src/codec/inbound_frame.rs
+++ b/crates/broker/src/codec/inbound_frame.rs
@@ -1,9 +1,11 @@
 //! Frames that a node sends to the broker, and their decoder.
 
 use super::LENGTH_BYTES;
+use crate::memory_budget::{MemoryBudget, Reservation};
 use bytes::{Buf, Bytes, BytesMut};
 use routing::AttemptOutcome;
 use std::io;
+use std::rc::Rc;
 use tokio_util::codec::Decoder;
 
 // The type bytes of the frames that a node sends.
@@ -50,34 +52,85 @@
         and a UTF-8 value"
     )]
     InvalidResponse,
+    /// There is no memory for the frame, whose length in bytes is given.
+    #[error("no memory for a frame of {0} bytes")]
+    OutOfMemory(usize),
     /// Reading from the connection failed.
     #[error(transparent)]
     Io(#[from] io::Error),
 }
 
+/// A frame, and the memory that it holds.
+pub struct DecodedFrame {
+    /// The frame.
+    pub frame: InboundFrame,
+    /// The memory of a frame that is longer than the buffers of a connection.
+    pub memory: Option<Reservation>,
+}
+
 /// A decoder that splits the bytes of a connection into frames.
 pub struct FrameDecoder {
     /// The maximum length of a frame in bytes, without its length prefix.
     pub max_frame_bytes: usize,
+    /// The capacity of the buffer between long frames. Longer frames have a buffer of their own.
+    pub buffer_bytes: usize,
+    /// The budget in which long frames are reserved.
+    memory: Rc<MemoryBudget>,
+    /// The memory of the long frame that is being received.
+    long_frame: Option<Reservation>,
+}
+
+impl FrameDecoder {
+    /// Creates a decoder for frames of at most `max_frame_bytes`. Frames longer than `buffer_bytes` are reserved in
+    /// `memory`.
+    pub fn new(max_frame_bytes: usize, buffer_bytes: usize, memory: Rc<MemoryBudget>) -> FrameDecoder {
+        FrameDecoder { max_frame_bytes, buffer_bytes, memory, long_frame: None }
+    }
+
+    /// Prepares the buffer for a frame of `frame_bytes` that is not complete.
+    fn prepare_buffer(&mut self, buffer: &mut BytesMut, frame_bytes: usize) -> Result<(), FrameError> {
+        if frame_bytes <= self.buffer_bytes {
+            buffer.reserve(frame_bytes - buffer.len());
+        } else if self.long_frame.is_none() {
+            let memory = self.memory.try_reserve(frame_bytes);
+            self.long_frame = Some(memory.ok_or(FrameError::OutOfMemory(frame_bytes))?);
+            replace_buffer(buffer, frame_bytes);
+        }
+        Ok(())
+    }
+}
+
+/// Moves the contents of a buffer into a new one with exactly this capacity, or with more if the contents are longer.
+/// `BytesMut::reserve` would keep the larger buffer, or double its capacity.
+fn replace_buffer(buffer: &mut BytesMut, capacity: usize) {
+    let mut replacement = BytesMut::with_capacity(capacity.max(buffer.len()));
+    replacement.extend_from_slice(buffer);
+    *buffer = replacement;
 }
 
 impl Decoder for FrameDecoder {
-    type Item = InboundFrame;
+    type Item = DecodedFrame;
     type Error = FrameError;
 
-    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<InboundFrame>, FrameError> {
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<DecodedFrame>, FrameError> {
         let Some(prefix) = buffer.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
         let length = u32::from_le_bytes(*prefix) as usize;
         // The peer is not trusted with the length, so it is checked before memory is reserved.
         if length == 0 || length > self.max_frame_bytes {
             return Err(FrameError::Length(length));
         }
-        if buffer.len() < LENGTH_BYTES + length {
-            buffer.reserve(LENGTH_BYTES + length - buffer.len());
+        let frame_bytes = LENGTH_BYTES + length;
+        if buffer.len() < frame_bytes {
+            self.prepare_buffer(buffer, frame_bytes)?;
             return Ok(None);
         }
         buffer.advance(LENGTH_BYTES);
-        decode_frame(buffer.split_to(length).freeze()).map(Some)
+        let frame = buffer.split_to(length).freeze();
+        let memory = self.long_frame.take();
+        if memory.is_some() {
+            replace_buffer(buffer, self.buffer_bytes);
+        }
+        Ok(Some(DecodedFrame { frame: decode_frame(frame)?, memory }))
     }
 }
 
--- a/crates/broker/src/codec/mod.rs
+++ b/crates/broker/src/codec/mod.rs
@@ -8,7 +8,7 @@
 mod load_report;
 mod outbound_frame;
 
-pub use inbound_frame::{FrameDecoder, FrameError, InboundFrame};
+pub use inbound_frame::{DecodedFrame, FrameDecoder, FrameError, InboundFrame};
 pub use load_report::read_load_report;
 pub use outbound_frame::{OutboundFrame, ShardRequestMessage};
 
--- a/crates/broker/src/codec/outbound_frame.rs
+++ b/crates/broker/src/codec/outbound_frame.rs
@@ -9,6 +9,13 @@
 const CANCEL: u8 = b'2';
 const PROBE: u8 = b'4';
 
+/// The size of a frame's type.
+const KIND_BYTES: usize = 1;
+/// The maximum length of the decimal digits of a number.
+const MAX_NUMBER_BYTES: usize = 20;
+/// The maximum length of a shard request's header after its id: three numbers, three spaces, `d=`, and a line feed.
+const MAX_HEADER_BYTES: usize = 3 * MAX_NUMBER_BYTES + 6;
+
 /// A shard request within a batch.
 #[derive(Clone, Debug)]
 pub struct ShardRequestMessage {
@@ -49,6 +56,18 @@
         }
     }
 
+    /// Returns an upper bound of the length of the encoded frame.
+    pub fn max_encoded_bytes(&self) -> usize {
+        let body = match self {
+            OutboundFrame::Batch(shard_requests) => {
+                shard_requests.iter().map(ShardRequestMessage::max_encoded_bytes).sum()
+            }
+            OutboundFrame::Cancel(id) => id.len(),
+            OutboundFrame::Probe => 0,
+        };
+        LENGTH_BYTES + KIND_BYTES + body
+    }
+
     /// Appends the encoded frame, including its length prefix, to `buffer`.
     ///
     /// `now` is the time at which the first byte is written. The timeouts in a batch are relative to it.
@@ -77,6 +96,10 @@
         self.expires_at.saturating_duration_since(now).as_millis() as u64
     }
 
+    fn max_encoded_bytes(&self) -> usize {
+        self.id.len() + MAX_HEADER_BYTES + self.text.len()
+    }
+
     /// Appends the header `ID SHARD d=TIMEOUT LENGTH`, a line feed, and the text.
     fn encode(&self, now: Instant, buffer: &mut BytesMut) {
         buffer.put_slice(&self.id);
--- a/crates/broker/src/engine/mod.rs
+++ b/crates/broker/src/engine/mod.rs
@@ -123,7 +123,7 @@
         let memory = MemoryBudget::new(limits.max_held_bytes);
         Rc::new(Engine {
             clock,
-            nodes: NodePool::new(limits.clone()),
+            nodes: NodePool::new(limits.clone(), memory.clone()),
             routing_logic: RefCell::new(routing_logic),
             inputs: RefCell::new(vec![Input::Woken]),
             queries: RefCell::new(QueryTable::new(memory.clone())),
--- a/crates/broker/src/engine/query_table.rs
+++ b/crates/broker/src/engine/query_table.rs
@@ -3,8 +3,9 @@
 use super::open_query::{OpenQuery, OpenShardRequest, StoredResponse};
 use super::{QueryOutcome, QueryRequest, ShardResponse, SubmitError};
 use crate::config_epoch::ConfigEpoch;
+use crate::json_length::json_string_length;
 use crate::memory_budget::{MemoryBudget, Reservation};
-use crate::node_pool::AttemptId;
+use crate::node_pool::{AttemptId, ReceivedValue};
 use bytes::Bytes;
 use routing::{AttemptNumber, QueryId, ShardId, ShardRequestId, Timestamp};
 use std::collections::{HashMap, HashSet};
@@ -214,14 +215,21 @@
     /// Stores the first response to a shard request. Ignores later responses and those of queries that have ended.
     ///
     /// Returns `false` if storing the response would exceed the memory limit.
-    pub(super) fn store_response(&mut self, id: ShardRequestId, response: &Bytes) -> bool {
+    pub(super) fn store_response(&mut self, id: ShardRequestId, response: ReceivedValue) -> bool {
         let Some(shard_request) = self.shard_requests.get_mut(&id) else { return true };
         if shard_request.response.is_some() {
             return true;
         }
-        let Some(memory) = self.memory.try_reserve(response.len()) else { return false };
+        // The client receives the value in JSON, in which it may be longer.
+        let needed_bytes = json_string_length(&response.bytes);
+        let mut memory = response.memory.unwrap_or_else(|| self.memory.reserve(0));
+        if !memory.try_grow(needed_bytes.saturating_sub(memory.bytes())) {
+            return false;
+        }
+        memory.resize(needed_bytes);
         // A slice would keep the connection's entire read buffer allocated, so the response is copied.
-        shard_request.response = Some(StoredResponse { value: Bytes::copy_from_slice(response), memory });
+        let value = Bytes::copy_from_slice(&response.bytes);
+        shard_request.response = Some(StoredResponse { value, memory });
         self.unanswered_shard_requests -= 1;
         true
     }
--- a/crates/broker/src/engine/results.rs
+++ b/crates/broker/src/engine/results.rs
@@ -23,7 +23,7 @@
         let in_flight = self.attempts.borrow_mut().remove(ended.attempt)?;
         let AttemptId { shard_request, number: attempt } = ended.attempt;
         let mut queries = self.queries.borrow_mut();
-        let is_stored = ended.value.is_none_or(|response| queries.store_response(shard_request, &response));
+        let is_stored = ended.value.is_none_or(|response| queries.store_response(shard_request, response));
         let outcome = if is_stored { ended.outcome } else { AttemptOutcome::Errored };
         if is_lost_node(outcome) {
             queries.record_lost_node(shard_request);
--- a/crates/broker/src/http_server/connection.rs
+++ b/crates/broker/src/http_server/connection.rs
@@ -1,6 +1,7 @@
 //! One client connection: the state of its current request, and the conditions under which it is closed.
 
 use crate::limits::Limits;
+use crate::memory_budget::{MemoryBudget, Reservation};
 use actix_http::StatusCode;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -76,6 +77,15 @@
     state: Cell<ConnectionState>,
     /// The number of bytes read for the current request; `usize::MAX` once the limit has been reached.
     bytes_read: Cell<usize>,
+    /// The number of bytes of the current request's body that were not read when it began; `None` if the body is in
+    /// chunks, whose length is not known.
+    body_bytes_left: Cell<Option<usize>>,
+    /// The number of bytes of the current response that the HTTP library has not buffered.
+    response_bytes_left: Cell<usize>,
+    /// The memory that clients and queries share.
+    memory: Rc<MemoryBudget>,
+    /// The memory of a head that is longer than the HTTP library's initial buffer.
+    head_memory: Cell<Option<Reservation>>,
     /// The time since which the client has not read everything that was written.
     write_blocked_since: Cell<Option<Instant>>,
     /// The time at which the last request ended, or the connection was accepted.
@@ -101,7 +111,7 @@
 
 impl Connection {
     /// Creates the state of a connection that was just accepted.
-    pub fn new(limits: Rc<Limits>, is_surplus: bool) -> Connection {
+    pub fn new(limits: Rc<Limits>, memory: Rc<MemoryBudget>, is_surplus: bool) -> Connection {
         Connection {
             limits,
             is_surplus,
@@ -110,6 +120,10 @@
             has_accepted_query: Cell::default(),
             state: Cell::new(ConnectionState::Idle),
             bytes_read: Cell::default(),
+            body_bytes_left: Cell::default(),
+            response_bytes_left: Cell::default(),
+            memory,
+            head_memory: Cell::default(),
             write_blocked_since: Cell::default(),
             last_used_at: Cell::new(Instant::now()),
             consecutive_client_errors: Cell::default(),
@@ -212,7 +226,7 @@
     pub fn may_read_more(&self, context: &Context) -> bool {
         let limit = self.read_limit();
         if self.bytes_read.get() < limit.max_bytes {
-            return true;
+            return self.has_memory_for_head();
         }
         let Some(excess_status) = limit.excess_status else { return false };
         // The library parses its buffer before it reads again. If it does read again, the head or body was not
@@ -225,6 +239,36 @@
         false
     }
 
+    /// Reserves memory for a head that does not fit into the HTTP library's initial buffer. If there is none, the
+    /// request is rejected, and the connection is closed.
+    fn has_memory_for_head(&self) -> bool {
+        let clients = &self.limits.clients;
+        if !self.is_reading_request() || self.bytes_read.get() < clients.short_head_bytes {
+            return true;
+        }
+        let memory = self.head_memory.take().or_else(|| self.memory.try_reserve(clients.long_head_bytes));
+        let has_memory = memory.is_some();
+        self.head_memory.set(memory);
+        if !has_memory {
+            self.request_close(Some(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        has_memory
+    }
+
+    /// Returns how many bytes may be read before the HTTP library decodes its buffer, in which `undecoded` bytes are
+    /// new.
+    pub fn max_read_bytes(&self, undecoded: usize) -> usize {
+        let sizes = &self.limits.clients.read_sizes;
+        let size = match (self.state.get(), self.body_bytes_left.get()) {
+            (ConnectionState::Idle | ConnectionState::ReadingRequest { .. }, _) | (_, Some(0)) => sizes.head,
+            (ConnectionState::HandlingRequest { .. }, Some(left)) => sizes.body.min(undecoded + left),
+            (ConnectionState::HandlingRequest { .. }, None) => sizes.chunked_body,
+            (ConnectionState::Closing { .. }, Some(left)) => sizes.dropped_body.min(undecoded + left),
+            (ConnectionState::Closing { .. }, None) => sizes.dropped_chunked_body,
+        };
+        size.saturating_sub(undecoded)
+    }
+
     /// Returns the limit on reading in the current state.
     fn read_limit(&self) -> ReadLimit {
         let Limits { clients, requests, .. } = &*self.limits;
@@ -246,13 +290,23 @@
     /// Records that `count` bytes were read.
     pub fn record_read(&self, count: usize) {
         self.bytes_read.set(self.bytes_read.get().saturating_add(count));
+        if !self.is_reading_request() {
+            let left = self.body_bytes_left.get().map(|left| left.saturating_sub(count));
+            self.body_bytes_left.set(left);
+        }
         if count > 0 {
             self.state.set(self.state.get().after_read(Instant::now()));
         }
     }
 
+    /// Records that the HTTP library has yet to buffer this many bytes of the current response.
+    pub fn set_response_bytes_left(&self, bytes: usize) {
+        self.response_bytes_left.set(bytes);
+    }
+
     /// Records whether a write was accepted completely.
     pub fn record_write(&self, is_complete: bool) {
+        let is_complete = is_complete && self.response_bytes_left.get() == 0;
         let since = self.write_blocked_since.get().unwrap_or_else(Instant::now);
         self.write_blocked_since.set((!is_complete).then_some(since));
     }
@@ -262,8 +316,10 @@
         self.paused_reader.set(Some(context.waker().clone()));
     }
 
-    /// Begins handling a request, which lasts until the returned guard is dropped.
-    pub fn begin_request(&self) -> RequestGuard<'_> {
+    /// Begins handling a request, which lasts until the returned guard is dropped. `body_bytes` is the length of its
+    /// body, or `None` if the body is in chunks.
+    pub fn begin_request(&self, body_bytes: Option<usize>) -> RequestGuard<'_> {
+        self.body_bytes_left.set(body_bytes);
         let arrived = self.reading_since().unwrap_or_else(Instant::now);
         self.bytes_read.set(0);
         self.state.set(ConnectionState::HandlingRequest { is_body_complete: false });
@@ -310,6 +366,7 @@
             connection.state.set(ConnectionState::Idle);
         }
         connection.bytes_read.set(0);
+        connection.head_memory.take();
         connection.paused_reader.take().into_iter().for_each(Waker::wake);
         connection.last_used_at.set(Instant::now());
         connection.has_served_request.set(true);
--- a/crates/broker/src/http_server/mod.rs
+++ b/crates/broker/src/http_server/mod.rs
@@ -20,6 +20,7 @@
 mod closing;
 mod connection;
 mod memory_report;
+mod response_body;
 mod routes;
 mod serving;
 mod watched_stream;
@@ -110,6 +111,7 @@
             // An unread body is read for a limited time: closing the socket with unread bytes would reset the
             // connection and might destroy the response.
             .client_disconnect_timeout(limits.clients.linger_timeout)
+            .h1_write_buffer_size(limits.clients.response_write_bytes)
             // A client that closes its sending side counts as disconnected, and its query is cancelled.
             .h1_allow_half_closed(false)
             .on_connect_ext(|stream: &WatchedStream, data| _ = data.insert(stream.connection().clone()))
--- a/crates/broker/src/http_server/serving.rs
+++ b/crates/broker/src/http_server/serving.rs
@@ -19,12 +19,13 @@
             debug!(%error, "failed to set TCP_NODELAY on a client connection");
         }
         let limits = self.query_handler.limits.clone();
+        let memory = self.query_handler.engine.memory().clone();
         self.close_excess_idle();
         let is_full = self.connections.borrow().len() >= limits.clients.max_connections;
         // At the limit an idle connection is closed to make room; if none is idle, queries on the new one are
         // rejected.
         let has_made_room = is_full && self.evict_one_idle();
-        let connection = Rc::new(Connection::new(limits, is_full && !has_made_room));
+        let connection = Rc::new(Connection::new(limits, memory, is_full && !has_made_room));
         self.connections.borrow_mut().push(connection.clone());
         actix_rt::spawn(self.clone().serve_connection(stream, connection, service));
     }
--- a/crates/broker/src/http_server/watched_stream.rs
+++ b/crates/broker/src/http_server/watched_stream.rs
@@ -14,10 +14,15 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+/// The buffer for input that is dropped.
+const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
+
 /// A client's socket that records its reads and writes in its `Connection`.
 pub(super) struct WatchedStream {
     stream: Rc<RefCell<TcpStream>>,
     connection: Rc<Connection>,
+    /// The number of bytes read since the HTTP library last decoded its buffer.
+    read_since_decoded: usize,
     /// The timer of the next check for a close behind unread bytes.
     next_close_check: Option<Pin<Box<Sleep>>>,
 }
@@ -25,7 +30,7 @@
 impl WatchedStream {
     /// Wraps the socket of a connection.
     pub fn new(stream: Rc<RefCell<TcpStream>>, connection: Rc<Connection>) -> WatchedStream {
-        WatchedStream { stream, connection, next_close_check: None }
+        WatchedStream { stream, connection, read_since_decoded: 0, next_close_check: None }
     }
 
     /// Returns the connection in which reads and writes are recorded.
@@ -63,18 +68,22 @@
         let (stream, limits) = (self.stream.borrow(), &self.connection.limits);
         if has_at_least_unread(&stream, limits.requests.max_body_bytes) {
             self.connection.close_after_response.set(true);
-            let mut dropped = vec![0; limits.clients.max_linger_bytes];
-            let _ = stream.try_read(&mut dropped);
+            let mut dropped = [0; DISCARD_BUFFER_BYTES];
+            let mut left = limits.clients.max_linger_bytes;
+            while let Ok(count @ 1..) = stream.try_read(&mut dropped) {
+                left = left.saturating_sub(count);
+                if left == 0 {
+                    break;
+                }
+            }
         }
     }
 }
 
-impl AsyncRead for WatchedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context,
-        into: &mut ReadBuf,
-    ) -> Poll<io::Result<()>> {
+impl WatchedStream {
+    /// Reads as much as the state of the connection permits. The HTTP library itself reads until nothing is unread, and
+    /// only then decodes its buffer.
+    fn poll_read_some(&mut self, context: &mut Context, into: &mut ReadBuf) -> Poll<io::Result<()>> {
         // Nothing more is read once the request's body is complete: pipelined input could otherwise exhaust the
         // memory.
         if self.connection.is_body_complete() {
@@ -83,14 +92,37 @@
         if !self.connection.may_read_more(context) {
             return Poll::Pending;
         }
-        let before = into.filled().len();
-        let read = || Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, into);
+        let max_bytes = self.connection.max_read_bytes(self.read_since_decoded);
+        if max_bytes == 0 {
+            // The library decodes its buffer before the next read.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let mut part = ReadBuf::new(into.initialize_unfilled_to(max_bytes.min(into.remaining())));
+        let read = || Pin::new(&mut *self.stream.borrow_mut()).poll_read(context, &mut part);
         ready!(poll_retrying_interrupted(read))?;
-        self.connection.record_read(into.filled().len() - before);
+        let count = part.filled().len();
+        into.advance(count);
+        self.read_since_decoded += count;
+        self.connection.record_read(count);
         Poll::Ready(Ok(()))
     }
 }
 
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context,
+        into: &mut ReadBuf,
+    ) -> Poll<io::Result<()>> {
+        let result = self.poll_read_some(context, into);
+        if result.is_pending() {
+            self.read_since_decoded = 0;
+        }
+        result
+    }
+}
+
 impl AsyncWrite for WatchedStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context, from: &[u8]) -> Poll<io::Result<usize>> {
         let write = || Pin::new(&mut *self.stream.borrow_mut()).poll_write(context, from);
--- a/crates/broker/src/lib.rs
+++ b/crates/broker/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod http_server;
 mod interrupt_safe;
 mod io_errors;
+mod json_length;
 pub mod limits;
 mod logging;
 pub mod memory_budget;
--- a/crates/broker/src/limits/client_limits.rs
+++ b/crates/broker/src/limits/client_limits.rs
@@ -1,6 +1,7 @@
 //! Limits of client connections.
 
 use super::machine::Capacity;
+use super::memory::{self, ReadSizes};
 use super::request_limits::MAX_CHUNKED_BODY_BYTES;
 use std::time::Duration;
 
@@ -50,6 +51,14 @@
     pub linger_timeout: Duration,
     /// The maximum number of bytes that are read and discarded after the last response.
     pub max_linger_bytes: usize,
+    /// How many bytes are read at once.
+    pub read_sizes: ReadSizes,
+    /// The maximum length of a head that fits into the HTTP library's initial buffer.
+    pub short_head_bytes: usize,
+    /// The memory that is reserved for a longer head.
+    pub long_head_bytes: usize,
+    /// The maximum number of bytes of a response that are buffered at once.
+    pub response_write_bytes: usize,
     /// The time to wait for the rest of a body whose request was already answered.
     pub unread_body_timeout: Duration,
     /// The number of consecutive invalid requests after which a connection is closed.
@@ -76,6 +85,10 @@
             new_connection_grace: NEW_CONNECTION_GRACE,
             linger_timeout: LINGER_TIMEOUT,
             max_linger_bytes: MAX_LINGER_BYTES,
+            read_sizes: memory::READ_SIZES,
+            short_head_bytes: memory::SHORT_HEAD_BYTES,
+            long_head_bytes: memory::LONG_HEAD_BYTES,
+            response_write_bytes: memory::RESPONSE_WRITE_BYTES,
             unread_body_timeout: UNREAD_BODY_TIMEOUT,
             max_consecutive_bad_requests: MAX_CONSECUTIVE_BAD_REQUESTS,
             keep_alive_timeout: KEEP_ALIVE_TIMEOUT,
--- a/crates/broker/src/limits/machine.rs
+++ b/crates/broker/src/limits/machine.rs
@@ -1,4 +1,6 @@
-//! The resources of the machine and their division among the parts of the broker.
+//! The resources of the machine and their division among the parts of the broker. `memory` divides the memory.
+
+use super::memory::MemoryDivision;
 
 pub(super) const KIB: usize = 1024;
 /// File descriptors for purposes other than client and node connections: files, pipes, the listener and discovery.
@@ -7,19 +9,8 @@
 const MIN_PEER_DESCRIPTORS: usize = 32;
 /// The minimum memory of a broker, in MiB.
 const MIN_MEMORY_MB: usize = 32;
-/// The estimated buffer memory of a connection: a request head, the buffers of the HTTP server, and a response.
-const CONNECTION_BUFFER_BYTES: usize = 48 * KIB;
 /// The ratio of client connections to surplus connections, whose requests are rejected.
 const CLIENTS_PER_SURPLUS_CONNECTION: usize = 8;
-/// The maximum number of nodes in a fleet.
-const MAX_NODES: usize = 3200;
-/// The maximum length of an entry in an endpoint list. It is four times the length of a typical entry in compact
-/// JSON, which leaves room for indentation and longer names.
-const MAX_LIST_ENTRY_BYTES: usize = 640;
-/// The fraction of the memory that an endpoint list may occupy while it is read, as a divisor. It is part of the
-/// quarter of the memory that is not assigned to traffic.
-const LIST_MEMORY_DIVISOR: usize = 8;
-
 /// The resources that are available to the broker.
 #[derive(Clone, Copy, Debug)]
 pub struct Machine {
@@ -51,6 +42,11 @@
 }
 
 impl Machine {
+    /// Returns the available memory in bytes.
+    pub(super) fn memory_bytes(self) -> usize {
+        self.memory_mb * KIB * KIB
+    }
+
     /// Checks that the resources suffice for a broker.
     fn check(self) -> Result<(), LimitsError> {
         let Machine { memory_mb, sockets } = self;
@@ -74,8 +70,8 @@
     /// The number of client connections that are kept open while idle.
     pub(super) idle_client_connections: usize,
     pub(super) node_connections: usize,
-    /// The memory for open queries, their responses and request bodies.
-    pub(super) held_bytes: usize,
+    /// The memory that queries, clients and nodes share.
+    pub(super) shared_bytes: usize,
     /// The length of an endpoint list.
     pub(super) list_bytes: usize,
 }
@@ -88,24 +84,20 @@
     /// Returns an error if the machine has too few file descriptors or too little memory.
     pub(super) fn new(machine: Machine) -> Result<Capacity, LimitsError> {
         machine.check()?;
-        let Machine { memory_mb, sockets } = machine;
+        let Machine { sockets, .. } = machine;
         let peer_descriptors = sockets - RESERVED_DESCRIPTORS;
-        let memory_bytes = memory_mb * KIB * KIB;
-        // Queries with their responses, client buffers and node buffers get one quarter of the memory each.
-        let quarter = memory_bytes / 4;
-        let max_buffers = quarter / CONNECTION_BUFFER_BYTES;
         // Clients connect by the hundreds, while nodes are few. Clients therefore get two thirds of the file
         // descriptors and nodes one third.
-        let all_client_connections = (peer_descriptors * 2 / 3).min(max_buffers);
-        let surplus_connections = all_client_connections / CLIENTS_PER_SURPLUS_CONNECTION;
+        let memory = MemoryDivision::new(machine, peer_descriptors / 3, peer_descriptors * 2 / 3);
+        let surplus_connections = memory.client_connections / CLIENTS_PER_SURPLUS_CONNECTION;
         Ok(Capacity {
-            client_connections: all_client_connections - surplus_connections,
+            client_connections: memory.client_connections - surplus_connections,
             surplus_connections,
             // Clients may occupy a third of the file descriptors. Idle connections must leave some for active ones.
-            idle_client_connections: (sockets / 5).min(all_client_connections / 2),
-            node_connections: (peer_descriptors / 3).min(max_buffers),
-            held_bytes: quarter,
-            list_bytes: (MAX_NODES * MAX_LIST_ENTRY_BYTES).min(memory_bytes / LIST_MEMORY_DIVISOR),
+            idle_client_connections: (sockets / 5).min(memory.client_connections / 2),
+            node_connections: memory.node_connections,
+            shared_bytes: memory.shared_bytes,
+            list_bytes: memory.list_bytes,
         })
     }
 }
--- a/crates/broker/src/limits/mod.rs
+++ b/crates/broker/src/limits/mod.rs
@@ -2,22 +2,24 @@
 //!
 //! [`ClientLimits`], [`RequestLimits`], [`NodeLimits`] and [`DiscoveryLimits`] each cover one part of the broker.
 //! Their modules also have the constants from which the limits are derived. `machine` divides the resources of the
-//! machine among them. Sizes in bytes have names that end in `_bytes`. Times are [`Duration`]s, or [`TimeSpan`]s if
+//! machine among them, and `memory` counts what each connection may hold. Sizes in bytes have names that end in `_bytes`. Times are [`Duration`]s, or [`TimeSpan`]s if
 //! the routing logic uses them.
 
 mod client_limits;
 mod discovery_limits;
 mod machine;
+mod memory;
 mod node_limits;
 mod request_limits;
 
 pub use client_limits::ClientLimits;
 pub use discovery_limits::DiscoveryLimits;
 pub use machine::{LimitsError, Machine};
+pub use memory::ReadSizes;
 pub use node_limits::NodeLimits;
 pub use request_limits::RequestLimits;
 
-use machine::{Capacity, KIB};
+use machine::Capacity;
 use routing::TimeSpan;
 use settings::BrokerSettings;
 use std::time::Duration;
@@ -35,7 +37,7 @@
     pub discovery: DiscoveryLimits,
     /// The memory that the process may use.
     pub memory_bytes: usize,
-    /// The maximum memory for open queries, their responses and request bodies.
+    /// The memory that queries, clients and nodes share beyond the buffers of their connections.
     pub max_held_bytes: usize,
     /// The minimum time between two turns of the routing logic.
     pub turn_period: TimeSpan,
@@ -55,8 +57,8 @@
             requests: RequestLimits::default(),
             nodes: NodeLimits::new(&capacity, broker_settings),
             discovery: DiscoveryLimits::new(&capacity, config),
-            memory_bytes: machine.memory_mb * KIB * KIB,
-            max_held_bytes: capacity.held_bytes,
+            memory_bytes: machine.memory_bytes(),
+            max_held_bytes: capacity.shared_bytes,
             turn_period: config.period,
         })
     }
--- a/crates/broker/src/limits/node_limits.rs
+++ b/crates/broker/src/limits/node_limits.rs
@@ -1,6 +1,7 @@
 //! Limits of connections to nodes.
 
 use super::machine::{Capacity, KIB};
+use super::memory;
 use super::to_duration;
 use routing::TimeSpan;
 use settings::{BrokerSettings, ConnectionSettings};
@@ -36,6 +37,8 @@
     pub max_connections: usize,
     /// The maximum length of a frame to or from a node, without its length prefix.
     pub max_frame_bytes: usize,
+    /// The capacity of the buffers of a connection. The memory of longer frames is reserved.
+    pub frame_buffer_bytes: usize,
     /// The maximum number of shard requests in a batch.
     pub max_batch_size: usize,
     /// The maximum number of shard requests in flight on one connection.
@@ -71,6 +74,7 @@
         NodeLimits {
             max_connections: capacity.node_connections,
             max_frame_bytes: MAX_FRAME_BYTES,
+            frame_buffer_bytes: memory::FRAME_BUFFER_BYTES,
             max_batch_size: max_batch_size.min(max_connection_shard_requests),
             max_connection_shard_requests,
             connect_timeout,
--- a/crates/broker/src/node_pool/attempt.rs
+++ b/crates/broker/src/node_pool/attempt.rs
@@ -1,6 +1,7 @@
 //! Types that the engine and the node pool exchange about attempts and probes.
 
 use crate::codec::ShardRequestMessage;
+use crate::memory_budget::Reservation;
 use bytes::Bytes;
 use routing::{AttemptNumber, AttemptOutcome, NodeId, ShardRequestId};
 use tokio::time::Instant;
@@ -30,11 +31,19 @@
     /// The outcome that is reported to the routing logic.
     pub outcome: AttemptOutcome,
     /// The value that the node returned; `None` unless the attempt succeeded.
-    pub value: Option<Bytes>,
+    pub value: Option<ReceivedValue>,
     /// The time at which the attempt completed.
     pub at: Instant,
 }
 
+/// A value that a node returned.
+pub struct ReceivedValue {
+    /// The value, a slice of the buffer into which it was received.
+    pub bytes: Bytes,
+    /// The memory of a value whose frame was longer than the buffers of its connection.
+    pub memory: Option<Reservation>,
+}
+
 /// The result of a load probe. Each probe has exactly one.
 pub struct ProbeReply {
     /// The node that was probed.
--- a/crates/broker/src/node_pool/connection.rs
+++ b/crates/broker/src/node_pool/connection.rs
@@ -1,6 +1,6 @@
 //! The state of one connection to a node.
 
-use super::attempt::AttemptId;
+use super::attempt::{AttemptId, ReceivedValue};
 use super::cancelled_requests::CancelledRequests;
 use super::connection_state::ConnectionState;
 use crate::codec::OutboundFrame;
@@ -39,7 +39,7 @@
     /// The outcome of the attempt as the node reports it.
     pub outcome: AttemptOutcome,
     /// The value that the node returned.
-    pub value: Bytes,
+    pub value: ReceivedValue,
 }
 
 /// The state of one connection to a node, from the first attempt to connect on. The pool and the connection's task
--- a/crates/broker/src/node_pool/mod.rs
+++ b/crates/broker/src/node_pool/mod.rs
@@ -51,9 +51,10 @@
 mod sending;
 mod writer;
 
-pub use attempt::{AttemptId, AttemptToSend, CompletedAttempt, ProbeReply};
+pub use attempt::{AttemptId, AttemptToSend, CompletedAttempt, ProbeReply, ReceivedValue};
 
 use crate::limits::Limits;
+use crate::memory_budget::MemoryBudget;
 use bytes::Bytes;
 use connection::NodeConnection;
 use routing::{AttemptOutcome, NodeId};
@@ -75,6 +76,8 @@
 /// The connections to all nodes and the attempts that are in flight on them.
 pub struct NodePool {
     limits: Rc<Limits>,
+    /// The memory that queries, clients and nodes share.
+    memory: Rc<MemoryBudget>,
     /// The address on which each node listens. Nothing is sent to a node without an entry.
     addresses: RefCell<HashMap<NodeId, SocketAddr>>,
     /// The connections to each node, oldest first.
@@ -91,9 +94,10 @@
 
 impl NodePool {
     /// Creates a pool without nodes. [`NodePool::set_address`] adds them.
-    pub fn new(limits: Rc<Limits>) -> Rc<NodePool> {
+    pub fn new(limits: Rc<Limits>, memory: Rc<MemoryBudget>) -> Rc<NodePool> {
         Rc::new(NodePool {
             limits,
+            memory,
             addresses: RefCell::default(),
             connections: RefCell::default(),
             attempts: RefCell::default(),
@@ -147,7 +151,7 @@
     }
 
     /// Completes an attempt, unless it has already completed.
-    fn complete_attempt(&self, attempt: AttemptId, outcome: AttemptOutcome, value: Option<Bytes>) {
+    fn complete_attempt(&self, attempt: AttemptId, outcome: AttemptOutcome, value: Option<ReceivedValue>) {
         if self.attempts.borrow_mut().remove(&attempt).is_some() {
             self.completed_attempts.borrow_mut().push(CompletedAttempt {
                 attempt,
--- a/crates/broker/src/node_pool/reader.rs
+++ b/crates/broker/src/node_pool/reader.rs
@@ -1,8 +1,8 @@
 //! The read loop of a connection to a node.
 
-use super::NodePool;
 use super::connection::{NodeConnection, UnconfirmedResponse};
-use crate::codec::{FrameDecoder, FrameError, InboundFrame, is_text};
+use super::{NodePool, ReceivedValue};
+use crate::codec::{DecodedFrame, FrameDecoder, FrameError, InboundFrame, is_text};
 use crate::interrupt_safe::InterruptSafe;
 use bytes::Bytes;
 use futures_util::StreamExt;
@@ -24,7 +24,7 @@
 }
 
 /// A frame, an error in place of a frame, or `None` at the end of the stream.
-type NextFrame = Option<Result<InboundFrame, FrameError>>;
+type NextFrame = Option<Result<DecodedFrame, FrameError>>;
 
 /// The error for a frame that was begun and not completed in time.
 struct StalledFrame;
@@ -39,8 +39,11 @@
 impl<'a> ConnectionReader<'a> {
     /// Creates a reader on the read half of a connection's socket.
     pub fn new(pool: &'a NodePool, connection: &'a NodeConnection, stream: ReadHalf<'a>) -> Self {
-        let decoder = FrameDecoder { max_frame_bytes: pool.limits.nodes.max_frame_bytes };
-        ConnectionReader { pool, connection, frames: FramedRead::new(InterruptSafe(stream), decoder) }
+        let limits = &pool.limits.nodes;
+        let decoder =
+            FrameDecoder::new(limits.max_frame_bytes, limits.frame_buffer_bytes, pool.memory.clone());
+        let frames = FramedRead::with_capacity(InterruptSafe(stream), decoder, limits.frame_buffer_bytes);
+        ConnectionReader { pool, connection, frames }
     }
 
     /// Reads frames until the node closes the connection, sends invalid data, or stalls in the middle of a frame.
@@ -85,7 +88,7 @@
     fn resolve_preceding_response(&self, frame: &NextFrame) {
         let is_followed_by_text = is_text(self.frames.read_buffer());
         match frame {
-            None | Some(Err(FrameError::Length(_) | FrameError::Io(_))) => {
+            None | Some(Err(FrameError::Length(_) | FrameError::Io(_) | FrameError::OutOfMemory(_))) => {
                 self.pool.resolve_unconfirmed_response(self.connection, is_followed_by_text);
             }
             Some(_) => self.pool.accept_response(self.connection),
@@ -96,13 +99,7 @@
     fn handle(&self, frame: NextFrame) -> ControlFlow<DisconnectReason> {
         let node = self.connection.address;
         match frame {
-            Some(Ok(InboundFrame::Response { id, outcome, value })) => self.on_response(id, outcome, value),
-            Some(Ok(InboundFrame::LoadReport(report))) => self.on_load_report(report),
-            Some(Ok(InboundFrame::Pong)) => Continue(()),
-            Some(Ok(InboundFrame::ProtocolError(reason))) => {
-                warn!(%node, reason, "connection closed by the node: protocol error");
-                Break(DisconnectReason::InvalidData)
-            }
+            Some(Ok(frame)) => self.handle_valid(frame),
             Some(Err(FrameError::Io(error))) => {
                 debug!(%node, %error, "failed to read from the node");
                 Break(DisconnectReason::Closed)
@@ -115,9 +112,29 @@
         }
     }
 
+    /// Handles one valid frame. Returns `Break` if the connection ends.
+    fn handle_valid(&self, decoded: DecodedFrame) -> ControlFlow<DisconnectReason> {
+        match decoded.frame {
+            InboundFrame::Response { id, outcome, value } => {
+                self.on_response(id, outcome, ReceivedValue { bytes: value, memory: decoded.memory })
+            }
+            InboundFrame::LoadReport(report) => self.on_load_report(report),
+            InboundFrame::Pong => Continue(()),
+            InboundFrame::ProtocolError(reason) => {
+                warn!(node = %self.connection.address, reason, "connection closed by the node: protocol error");
+                Break(DisconnectReason::InvalidData)
+            }
+        }
+    }
+
     /// Handles a response. The response is used at once if no bytes follow it, and otherwise when the bytes that
     /// follow have been decoded.
-    fn on_response(&self, id: Bytes, outcome: AttemptOutcome, value: Bytes) -> ControlFlow<DisconnectReason> {
+    fn on_response(
+        &self,
+        id: Bytes,
+        outcome: AttemptOutcome,
+        value: ReceivedValue,
+    ) -> ControlFlow<DisconnectReason> {
         let Some(request) = self.connection.remove(&id) else { return self.on_unknown_response(&id) };
         self.connection.write_ready.notify_one();
         self.connection.hold_response(UnconfirmedResponse { attempt: request.attempt, outcome, value });
--- a/crates/broker/src/node_pool/writer.rs
+++ b/crates/broker/src/node_pool/writer.rs
@@ -4,6 +4,7 @@
 use super::connection::NodeConnection;
 use crate::codec::OutboundFrame;
 use crate::io_errors::retry_interrupted;
+use crate::memory_budget::Reservation;
 use crate::socket_peek::has_peer_closed;
 use bytes::{Buf, Bytes, BytesMut};
 use routing::AttemptOutcome;
@@ -25,12 +26,15 @@
     stream: WriteHalf<'a>,
     /// The part of the current frame that has not been written.
     buffer: BytesMut,
+    /// The memory of a current frame that is longer than the connection's buffer.
+    long_frame: Option<Reservation>,
 }
 
 impl<'a> ConnectionWriter<'a> {
     /// Creates a writer on the write half of a connection's socket.
     pub fn new(pool: &'a NodePool, connection: &'a NodeConnection, stream: WriteHalf<'a>) -> Self {
-        ConnectionWriter { pool, connection, stream, buffer: BytesMut::new() }
+        let buffer = BytesMut::with_capacity(pool.limits.nodes.frame_buffer_bytes);
+        ConnectionWriter { pool, connection, stream, buffer, long_frame: None }
     }
 
     /// Writes frames until the connection fails, has been idle for too long, or has been closed.
@@ -62,12 +66,46 @@
             return Continue(());
         }
         let wire_ids = frame.shard_request_ids();
+        if !self.reserve_buffer(&frame) {
+            self.cancel_for_lack_of_memory(&wire_ids);
+            return Continue(());
+        }
         if self.begin_frame(frame, now)? {
             self.finish_frame(&wire_ids).await?;
         }
+        self.release_buffer();
         Continue(())
     }
 
+    /// Prepares the buffer for a frame. Returns `false` if there is no memory for a long one.
+    fn reserve_buffer(&mut self, frame: &OutboundFrame) -> bool {
+        let frame_bytes = frame.max_encoded_bytes();
+        if frame_bytes <= self.pool.limits.nodes.frame_buffer_bytes {
+            return true;
+        }
+        self.long_frame = self.pool.memory.try_reserve(frame_bytes);
+        if self.long_frame.is_some() {
+            self.buffer = BytesMut::with_capacity(frame_bytes);
+        }
+        self.long_frame.is_some()
+    }
+
+    /// Replaces the buffer of a long frame.
+    fn release_buffer(&mut self) {
+        if self.long_frame.is_some() {
+            self.buffer = BytesMut::with_capacity(self.pool.limits.nodes.frame_buffer_bytes);
+            self.long_frame = None;
+        }
+    }
+
+    /// Completes the attempts of a frame for which there is no memory. This does not count against the node.
+    fn cancel_for_lack_of_memory(&self, wire_ids: &[Bytes]) {
+        warn!(node = %self.connection.address, "no memory for a frame to the node");
+        for attempt in wire_ids.iter().filter_map(|wire_id| self.connection.attempt_of(wire_id)) {
+            self.pool.cancel_unwritten(attempt, AttemptOutcome::LocalResourceExhausted);
+        }
+    }
+
     /// Waits until a frame may be queued. Returns `Break` if nothing is in flight on the connection and it is closing
     /// or has been idle for too long.
     async fn wait_for_work(&self) -> ControlFlow<()> {
--- a/crates/broker/src/query_handler.rs
+++ b/crates/broker/src/query_handler.rs
@@ -2,13 +2,13 @@
 //!
 //! # Phases
 //!
-//! 1. The handler checks the length that the request announces for its body, and reserves memory for it in the
-//!    engine.
-//! 2. It reads the body within the I/O timeout of client connections (`request_reader`).
+//! 1. The handler checks the length that the request announces for its body.
+//! 2. It reads the body within the I/O timeout of client connections (`body_reader`), and reserves memory for what it
+//!    reads.
 //! 3. It parses and validates the query against the current configuration epoch. There is no await between this step
 //!    and the submission, so the configuration cannot change in between.
 //! 4. It submits the query and awaits the outcome.
-//! 5. It converts the outcome into the response (`responses`).
+//! 5. It converts the outcome into the response (`responses`), whose memory is held until it is written.
 //!
 //! # Cancellation
 //!
@@ -20,6 +20,8 @@
 //! Only `body` (JSON) and `request_reader` (headers) use the field names of the protocol.
 
 mod body;
+mod body_reader;
+mod handler_error;
 mod rejected_requests;
 mod request_error;
 mod request_reader;
@@ -30,11 +32,14 @@
 pub use responses::{rejection_response, text_response};
 
 use crate::config_epoch::ConfigEpoch;
-use crate::engine::{Engine, QueryOutcome, SubmitError};
+use crate::engine::{Engine, QueryOutcome};
 use crate::limits::Limits;
+use crate::memory_budget::Reservation;
 use actix_http::{HttpMessage, Request, Response, StatusCode};
+use body_reader::{BodyReader, RequestBodyBytes};
 use bytes::Bytes;
-use request_reader::{announced_length, read_body, read_query};
+use handler_error::HandlerError;
+use request_reader::{announced_length, read_query};
 use routing::{ClassId, Idempotency};
 use std::rc::Rc;
 use tokio::time::{Instant, timeout_at};
@@ -42,6 +47,20 @@
 /// The header with which a client provides an idempotency key.
 const IDEMPOTENCY_KEY_HEADER: &str = "Idempotency-Key";
 
+/// The response to a request, and the memory that its body holds.
+pub struct HandledRequest {
+    /// The response.
+    pub response: Response<Bytes>,
+    /// The memory of the response's body; `None` if the body is a short text.
+    pub memory: Option<Reservation>,
+}
+
+impl From<Response<Bytes>> for HandledRequest {
+    fn from(response: Response<Bytes>) -> HandledRequest {
+        HandledRequest { response, memory: None }
+    }
+}
+
 /// A handler that executes the queries of HTTP clients.
 pub struct QueryHandler {
     /// The engine to which queries are submitted.
@@ -62,9 +81,12 @@
         request: Request,
         arrived: Instant,
         on_body_complete: impl FnOnce(),
-    ) -> Response<Bytes> {
-        let response = self.try_handle(request, arrived, on_body_complete).await;
-        response.unwrap_or_else(|error| self.reject(error))
+    ) -> HandledRequest {
+        let handled = self.try_handle(request, arrived, on_body_complete).await;
+        handled.unwrap_or_else(|error| match error {
+            HandlerError::Request(error) => self.reject(error).into(),
+            HandlerError::Rejected => rejection_response(self.engine.epoch().retry_after).into(),
+        })
     }
 
     /// Counts a client error and returns the response to it.
@@ -73,44 +95,25 @@
         responses::error_response(error)
     }
 
-    /// Executes a query like [`QueryHandler::handle`], but returns client errors as `Err`.
+    /// Executes a query like [`QueryHandler::handle`], but returns client errors and rejections as `Err`.
     async fn try_handle(
         &self,
         mut request: Request,
         arrived: Instant,
         on_body_complete: impl FnOnce(),
-    ) -> Result<Response<Bytes>, RequestError> {
-        let length = self.body_length_to_reserve(&request)?;
-        let Some(reserved_memory) = self.engine.memory().try_reserve(length) else {
-            return Ok(rejection_response(self.engine.epoch().retry_after));
-        };
+    ) -> Result<HandledRequest, HandlerError> {
         let body = self.read_body_in_time(&mut request, arrived).await?;
         on_body_complete();
         // There must be no await between this line and the submission, so that both use the same epoch.
         let epoch = self.engine.epoch();
-        let query = read_query(&self.limits.requests, &epoch, &request, &body, arrived)?;
-        // The engine accounts for the memory of the submitted query.
-        drop((reserved_memory, body));
+        let query = read_query(&self.limits.requests, &epoch, &request, &body.bytes, arrived)?;
         if !is_supported_by_protocol(&epoch, &request, query.class) {
-            return Ok(rejection_response(epoch.retry_after));
-        }
-        let outcome = match self.engine.submit(query) {
-            Ok(accepted) => accepted.outcome().await,
-            Err(SubmitError::Overloaded) => QueryOutcome::Rejected { retry_after: epoch.retry_after },
-            Err(SubmitError::DuplicateId) => return Err(RequestError::IdInUse),
-        };
-        Ok(self.response_to(outcome))
-    }
-
-    /// Returns the number of bytes to reserve for the body: its announced length, or the maximum if none is
-    /// announced.
-    fn body_length_to_reserve(&self, request: &Request) -> Result<usize, RequestError> {
-        let max_body_bytes = self.limits.requests.max_body_bytes;
-        let length = announced_length(request)?.unwrap_or(max_body_bytes);
-        match length <= max_body_bytes {
-            true => Ok(length),
-            false => Err(RequestError::AnnouncedBodyTooLong),
+            return Err(HandlerError::Rejected);
         }
+        // The engine accounts for the memory of the submitted query. The request's head is not held any longer.
+        drop((body, request));
+        let accepted = self.engine.submit(query)?;
+        Ok(self.response_to(accepted.outcome().await))
     }
 
     /// Reads the body within the I/O timeout, which starts at the first bytes of the request.
@@ -118,20 +121,29 @@
         &self,
         request: &mut Request,
         arrived: Instant,
-    ) -> Result<Bytes, RequestError> {
+    ) -> Result<RequestBodyBytes, HandlerError> {
+        let max_body_bytes = self.limits.requests.max_body_bytes;
+        let announced_bytes = announced_length(request)?;
+        if announced_bytes.is_some_and(|length| length > max_body_bytes) {
+            return Err(RequestError::AnnouncedBodyTooLong.into());
+        }
+        let reader = BodyReader::new(self.engine.memory(), announced_bytes, max_body_bytes);
         let time_limit = arrived + self.limits.clients.io_timeout;
-        let reading = read_body(request, self.limits.requests.max_body_bytes);
-        timeout_at(time_limit, reading).await.map_err(|_| RequestError::BodyTimedOut)?
+        let read = timeout_at(time_limit, reader.read(request)).await;
+        read.map_err(|_| RequestError::BodyTimedOut)?
     }
 
     /// Returns the response for an outcome.
-    fn response_to(&self, outcome: QueryOutcome) -> Response<Bytes> {
+    fn response_to(&self, outcome: QueryOutcome) -> HandledRequest {
         match outcome {
-            QueryOutcome::Response { complete, responses, memory: _memory } => {
-                responses::query_response(complete, &responses, self.limits.requests.max_response_bytes)
+            QueryOutcome::Response { complete, responses, mut memory } => {
+                let max_length = self.limits.requests.max_response_bytes;
+                let response = responses::query_response(complete, &responses, max_length);
+                memory.resize(response.body().len());
+                HandledRequest { response, memory: Some(memory) }
             }
-            QueryOutcome::Rejected { retry_after } => rejection_response(retry_after),
-            QueryOutcome::Failed => text_response(StatusCode::BAD_GATEWAY, "the retrieval failed\n"),
+            QueryOutcome::Rejected { retry_after } => rejection_response(retry_after).into(),
+            QueryOutcome::Failed => text_response(StatusCode::BAD_GATEWAY, "the retrieval failed\n").into(),
         }
     }
 }
--- a/crates/broker/src/query_handler/request_reader.rs
+++ b/crates/broker/src/query_handler/request_reader.rs
@@ -10,8 +10,7 @@
 use crate::limits::RequestLimits;
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, UPGRADE};
 use actix_http::{HttpMessage, Request};
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
+use bytes::Bytes;
 use routing::{ClassId, ShardId, TenantId, TimeSpan};
 use std::borrow::Cow;
 use std::collections::BTreeSet;
@@ -43,20 +42,6 @@
     length.map(|text| text.trim().parse().map_err(|_| RequestError::UnreadableLength)).transpose()
 }
 
-/// Reads the entire body, which may have at most `max_length` bytes.
-pub(super) async fn read_body(request: &mut Request, max_length: usize) -> Result<Bytes, RequestError> {
-    let mut payload = request.take_payload();
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| RequestError::BodyCutOff)?;
-        if body.len() + chunk.len() > max_length {
-            return Err(RequestError::BodyTooLong);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
 /// Parses and validates a query.
 ///
 /// The query text is not copied if it contains no JSON escapes: it then is a slice of `body`.
--- a/crates/broker/src/query_handler/responses.rs
+++ b/crates/broker/src/query_handler/responses.rs
@@ -3,6 +3,7 @@
 use super::RequestError;
 use super::body::{ResponseBody, ShardResponseBody};
 use crate::engine::ShardResponse;
+use crate::json_length::json_string_length;
 use actix_http::header::{CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
@@ -16,9 +17,9 @@
     responses: &[ShardResponse],
     max_length: usize,
 ) -> Response<Bytes> {
-    // The codec has rejected values that are not UTF-8, so none is filtered out here.
-    let shard_responses = responses.iter().filter_map(shard_response_body).collect();
-    let body = serde_json::to_vec(&ResponseBody { is_complete, shard_responses }).ok();
+    // A response that is too long is not built: it could take more memory than there is.
+    let values_length: usize = responses.iter().map(|response| json_string_length(&response.value)).sum();
+    let body = (values_length <= max_length).then(|| query_response_body(is_complete, responses)).flatten();
     let Some(body) = body.filter(|body| body.len() <= max_length) else {
         warn!(max_length, "response too long, query failed");
         return text_response(StatusCode::BAD_GATEWAY, "the answer is too long\n");
@@ -26,6 +27,15 @@
     build(Response::build(StatusCode::OK).insert_header((CONTENT_TYPE, "application/json")), body)
 }
 
+/// Returns the JSON body of the response to a query, or `None` if it can't be encoded.
+fn query_response_body(is_complete: bool, responses: &[ShardResponse]) -> Option<Vec<u8>> {
+    // The codec has rejected values that are not UTF-8, so none is filtered out here.
+    let shard_responses = responses.iter().filter_map(shard_response_body).collect();
+    let mut body = serde_json::to_vec(&ResponseBody { is_complete, shard_responses }).ok()?;
+    body.shrink_to_fit();
+    Some(body)
+}
+
 /// Converts a shard's response to its JSON form. Returns `None` if the value is not UTF-8.
 fn shard_response_body(response: &ShardResponse) -> Option<ShardResponseBody<'_>> {
     let value = std::str::from_utf8(&response.value).ok()?;
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -12,6 +12,7 @@
 mod interrupted_calls;
 mod load_reports;
 mod local_shortage;
+mod memory_limit;
 mod node_connections;
 mod queries;
 mod races;
--- a/crates/broker/tests/sockets/test_process.rs
+++ b/crates/broker/tests/sockets/test_process.rs
@@ -41,6 +41,11 @@
         process
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, name: &str) {
         let (signal, id) = (format!("-{name}"), self.child.id().to_string());
         assert!(Command::new("kill").args([signal, id]).status().unwrap().success());
