broker: a response with a wrong length is not used

Lengths one to three too large took bytes of the next frame into the value.

Cause: whether a length is right was concluded from too little. The decoder makes room for exactly the bytes that the length names, so a read ends there and an empty buffer says nothing of the rest, which lies in the socket. And a line end was proof that the bytes behind a response are not the rest of its value.

Change: `codec/response_length.rs` tells a wrong length from noise by the bytes of the value and those behind it. The socket is looked at where the read may have ended with the frame. A pending load probe counts as expected. A type that can't be printed is an error at once. A log line says whether such a response was used.

Why it works: text behind a response, line ends included, is its rest; a frame that starts within a value, or at its end, shows that the length was too large. Noise that can't be text is still no reason to drop a good response.

--- a/crates/broker/src/codec/inbound_frame.rs
+++ b/crates/broker/src/codec/inbound_frame.rs
@@ -14,6 +14,11 @@
 const RESPONSE: u8 = b'5';
 const PROTOCOL_ERROR: u8 = b'X';
 
+/// Returns whether this is the type byte of a frame that a node sends.
+pub(super) fn is_known_kind(kind: u8) -> bool {
+    matches!(kind, PONG | LOAD_REPORT | RESPONSE | PROTOCOL_ERROR)
+}
+
 /// The body of a load report frame whose report the node could not create.
 const NO_REPORT: &[u8] = b"E";
 
@@ -60,6 +65,18 @@
     Io(#[from] io::Error),
 }
 
+impl FrameError {
+    /// Returns whether the bytes form a frame all the same, with a length that fits and a printable type. The frame
+    /// before then had the right length, too.
+    pub fn is_within_frame(&self) -> bool {
+        match self {
+            FrameError::InvalidResponse => true,
+            FrameError::UnknownKind(kind) => kind.is_ascii_graphic(),
+            FrameError::Length(_) | FrameError::OutOfMemory(_) | FrameError::Io(_) => false,
+        }
+    }
+}
+
 /// A frame, and the memory that it holds.
 pub struct DecodedFrame {
     /// The frame.
@@ -119,6 +136,10 @@
         if length == 0 || length > self.max_frame_bytes {
             return Err(FrameError::Length(length));
         }
+        // Bytes that are no frame would otherwise be waited for, up to the length that they seem to have.
+        if let Some(kind) = buffer.get(LENGTH_BYTES).filter(|kind| !kind.is_ascii_graphic()) {
+            return Err(FrameError::UnknownKind(*kind));
+        }
         let frame_bytes = LENGTH_BYTES + length;
         if buffer.len() < frame_bytes {
             self.prepare_buffer(buffer, frame_bytes)?;
--- a/crates/broker/src/codec/mod.rs
+++ b/crates/broker/src/codec/mod.rs
@@ -7,18 +7,15 @@
 mod inbound_frame;
 mod load_report;
 mod outbound_frame;
+mod response_length;
 
 pub use inbound_frame::{DecodedFrame, FrameDecoder, FrameError, InboundFrame};
 pub use load_report::read_load_report;
 pub use outbound_frame::{OutboundFrame, ShardRequestMessage};
+pub use response_length::{contains_frame_start, has_wrong_length};
 
 /// The size of a frame's length prefix. The length is in little endian and excludes the prefix.
 const LENGTH_BYTES: usize = 4;
 
-/// Returns whether `bytes` could be the continuation of a response's value: UTF-8 without control characters.
-pub fn is_text(bytes: &[u8]) -> bool {
-    std::str::from_utf8(bytes).is_ok_and(|text| !text.contains(char::is_control))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/broker/src/node_pool/connection.rs
+++ b/crates/broker/src/node_pool/connection.rs
@@ -292,7 +292,8 @@
         self.cancelled_requests.borrow_mut().take(wire_id)
     }
 
-    fn has_pending_probes(&self) -> bool {
+    /// Returns whether any load probe has not been answered.
+    pub fn has_pending_probes(&self) -> bool {
         self.pending_probes.get() > 0
     }
 
--- a/crates/broker/src/node_pool/connection_task.rs
+++ b/crates/broker/src/node_pool/connection_task.rs
@@ -34,7 +34,7 @@
             None => DisconnectReason::Closed,
         };
         self.connection.begin_closing();
-        self.pool.resolve_unconfirmed_response(&self.connection, true);
+        self.pool.reject_response(&self.connection);
         self.pool.remove_connection(&self.connection);
         self.resend_unwritten();
         self.complete_pending_probes();
--- a/crates/broker/src/node_pool/mod.rs
+++ b/crates/broker/src/node_pool/mod.rs
@@ -53,6 +53,7 @@
 
 pub use attempt::{AttemptId, AttemptToSend, CompletedAttempt, ProbeReply, ReceivedValue};
 
+use crate::codec::has_wrong_length;
 use crate::limits::Limits;
 use crate::memory_budget::MemoryBudget;
 use bytes::Bytes;
@@ -64,6 +65,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::warn;
 
 /// The connection on which an attempt is in flight.
 #[derive(Clone)]
@@ -176,18 +178,29 @@
         self.complete_attempt(response.attempt, response.outcome, succeeded.then_some(response.value));
     }
 
-    /// Accepts or rejects the unconfirmed response when no valid frame follows it.
-    ///
-    /// A node that writes a wrong length truncates the value, or extends it by the start of the next response; the
-    /// bytes that follow are then not a valid frame. Such a response is not used, and its attempt completes as an
-    /// error. If nothing else is in flight and the bytes that follow are not text, they cannot be the rest of the
-    /// value, and the response is used.
-    fn resolve_unconfirmed_response(&self, connection: &NodeConnection, is_followed_by_text: bool) {
-        if !connection.has_in_flight() && !is_followed_by_text {
-            return self.accept_response(connection);
-        }
+    /// Completes the attempt of the unconfirmed response, if there is one, as an error, and does not use the response.
+    fn reject_response(&self, connection: &NodeConnection) {
         if let Some(response) = connection.take_unconfirmed_response() {
             self.complete_attempt(response.attempt, AttemptOutcome::Errored, None);
         }
     }
+
+    /// Accepts or rejects the unconfirmed response when the bytes that follow are not a valid frame.
+    ///
+    /// A node that writes a wrong length truncates the value, or extends it by the start of its next frame. The bytes
+    /// that follow are then the rest of either, and the response must not be used. The response is valid if the bytes
+    /// are noise, which a node writes only when it owes nothing else on the connection.
+    fn resolve_unconfirmed_response(&self, connection: &NodeConnection, following: &[u8]) {
+        let Some(response) = connection.take_unconfirmed_response() else { return };
+        let is_valid = !connection.has_in_flight()
+            && !connection.has_pending_probes()
+            && !has_wrong_length(&response.value.bytes, following, self.limits.nodes.max_frame_bytes);
+        let following_bytes = following.len();
+        warn!(node = %connection.address, following_bytes, is_valid, "response followed by bytes that are not a frame");
+        connection.hold_response(response);
+        match is_valid {
+            true => self.accept_response(connection),
+            false => self.reject_response(connection),
+        }
+    }
 }
--- a/crates/broker/src/node_pool/reader.rs
+++ b/crates/broker/src/node_pool/reader.rs
@@ -2,8 +2,9 @@
 
 use super::connection::{NodeConnection, UnconfirmedResponse};
 use super::{NodePool, ReceivedValue};
-use crate::codec::{DecodedFrame, FrameDecoder, FrameError, InboundFrame, is_text};
+use crate::codec::{DecodedFrame, FrameDecoder, FrameError, InboundFrame, contains_frame_start};
 use crate::interrupt_safe::InterruptSafe;
+use crate::socket_peek::has_unread_bytes;
 use bytes::Bytes;
 use futures_util::StreamExt;
 use routing::AttemptOutcome;
@@ -79,19 +80,21 @@
     /// Ends the connection because a frame stays incomplete.
     fn disconnect_on_stalled_frame(&self) -> DisconnectReason {
         warn!(node = %self.connection.address, "connection closed: incomplete frame timed out");
-        self.pool.resolve_unconfirmed_response(self.connection, is_text(self.frames.read_buffer()));
+        self.pool.resolve_unconfirmed_response(self.connection, self.frames.read_buffer());
         DisconnectReason::InvalidData
     }
 
     /// Accepts or rejects the response before this frame: a valid frame after a response confirms the response's
     /// length.
     fn resolve_preceding_response(&self, frame: &NextFrame) {
-        let is_followed_by_text = is_text(self.frames.read_buffer());
-        match frame {
-            None | Some(Err(FrameError::Length(_) | FrameError::Io(_) | FrameError::OutOfMemory(_))) => {
-                self.pool.resolve_unconfirmed_response(self.connection, is_followed_by_text);
-            }
-            Some(_) => self.pool.accept_response(self.connection),
+        let is_frame = match frame {
+            Some(Ok(_)) => true,
+            Some(Err(error)) => error.is_within_frame(),
+            None => false,
+        };
+        match is_frame {
+            true => self.pool.accept_response(self.connection),
+            false => self.pool.resolve_unconfirmed_response(self.connection, self.frames.read_buffer()),
         }
     }
 
@@ -137,13 +140,28 @@
     ) -> ControlFlow<DisconnectReason> {
         let Some(request) = self.connection.remove(&id) else { return self.on_unknown_response(&id) };
         self.connection.write_ready.notify_one();
+        let is_too_long = contains_frame_start(&value.bytes, self.pool.limits.nodes.max_frame_bytes);
+        let is_last = !self.has_unread_bytes(&value);
         self.connection.hold_response(UnconfirmedResponse { attempt: request.attempt, outcome, value });
-        if self.frames.read_buffer().is_empty() {
+        if is_too_long {
+            warn!(node = %self.connection.address, "connection closed: response with the start of the next frame");
+            self.pool.reject_response(self.connection);
+            return Break(DisconnectReason::InvalidData);
+        }
+        if is_last {
             self.pool.accept_response(self.connection);
         }
         Continue(())
     }
 
+    /// Returns whether bytes follow the response with this value, in the buffer or in the socket. The buffer of a long
+    /// frame ends with the frame, and so may that of any other, in which case the socket was not read to its end.
+    fn has_unread_bytes(&self, value: &ReceivedValue) -> bool {
+        let buffer = self.frames.read_buffer();
+        let may_be_in_socket = value.memory.is_some() || buffer.capacity() == 0;
+        !buffer.is_empty() || (may_be_in_socket && has_unread_bytes(self.frames.get_ref().0.as_ref()))
+    }
+
     /// Handles a response to a shard request that is not in flight.
     fn on_unknown_response(&self, id: &Bytes) -> ControlFlow<DisconnectReason> {
         // A cancelled shard request may still be answered.
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod node_connections;
 mod queries;
 mod races;
+mod response_lengths;
 mod shutdown;
 mod soak;
 mod system_faults;
