--- a/crates/broker/src/query_handler/request_reader.rs
+++ b/crates/broker/src/query_handler/request_reader.rs
@@ -64,7 +64,7 @@
     let work_us: Option<f64> = query.shard_requests.iter().map(|shard_request| shard_request.work_us).sum();
     let text = match query.text {
         Cow::Borrowed(text) => body.slice_ref(text.as_bytes()),
-        Cow::Owned(text) => Bytes::from(text),
+        Cow::Owned(text) => Bytes::from(text.into_boxed_str().into_boxed_bytes()),
     };
     Ok(QueryRequest {
         id,
