review: a broker whose port another process holds is started anew, and its log is kept

The check after the start took any listener on the port for the broker.

Change: the broker has to be alive half a second after the port first answers; a broker that does not get ready has its log printed. What each case checks is unchanged.

--- a/review/peers-2/common.rs
+++ b/review/peers-2/common.rs
@@ -113,8 +113,12 @@
             let mut broker = Broker::start_once(name, seed, limits, discovery, settings);
             let until = now_ms() + 5000.0;
             while broker.ended().is_none() && now_ms() < until {
-                if TcpStream::connect(broker.listen).is_ok() && broker.ended().is_none() {
-                    return broker;
+                // Whoever has taken the port may answer, too: a broker that can't bind it has ended by the second look.
+                if TcpStream::connect(broker.listen).is_ok() {
+                    sleep_ms(500);
+                    if broker.ended().is_none() {
+                        return broker;
+                    }
                 }
                 sleep_ms(10);
             }
@@ -177,7 +181,8 @@
             sleep_ms(20);
         }
         kill_all();
-        give_up("a broker did not become ready");
+        let log = std::fs::read_to_string(self.config.with_extension("log")).unwrap_or_default();
+        give_up(&format!("a broker did not become ready; its log: {log}"));
     }
 
     /// Replaces the configuration file, in one step, with one that names another discovery, and sends SIGHUP.
