broker: a late response is not taken for one to a later attempt with its id

Cause: frames name a shard request by QUERY_ID.SHARD alone. The node pool put a new attempt on a connection that had carried the same id, and gave it whatever came with the id. The nodes' records have the right texts, so neither engine nor node mixed them.

Change: an id is written on a connection at most once (WireIdHistory). A query that ended without a response and may have been executed keeps its id for 60 s after its deadline (RetainedIds, bounded and counted): another one under it gets 400.

Tests: sockets::response_owners, 23 cases. With the change all pass, and all other tests of the package.

--- a/crates/broker/src/engine/dispatch.rs
+++ b/crates/broker/src/engine/dispatch.rs
@@ -5,7 +5,7 @@
 
 use super::attempt_table::InFlightAttempt;
 use super::batches::split_into_batches;
-use super::query_table::{NextAttempt, RemovedQuery};
+use super::query_table::NextAttempt;
 use super::{Engine, QueryOutcome, ShardResponse};
 use crate::codec::ShardRequestMessage;
 use crate::memory_budget::Reservation;
@@ -79,9 +79,13 @@
         id: QueryId,
         outcome: impl FnOnce(Vec<ShardResponse>, Reservation) -> QueryOutcome,
     ) {
-        if let Some(RemovedQuery { query, responses, responses_memory, .. }) = self.close(id) {
-            query.finish(outcome(responses, responses_memory), self.clock.now());
+        let Some(mut removed) = self.close(id) else { return };
+        let responses = std::mem::take(&mut removed.responses);
+        let outcome = outcome(responses, removed.responses_memory.take());
+        if matches!(outcome, QueryOutcome::Failed) {
+            self.retain_id_if_executed(&removed);
         }
+        removed.query.finish(outcome, self.clock.now());
     }
 
     /// Registers an attempt as in flight and returns the message to send.
--- a/crates/broker/src/engine/mod.rs
+++ b/crates/broker/src/engine/mod.rs
@@ -51,6 +51,7 @@
 mod query;
 mod query_table;
 mod results;
+mod retained_ids;
 mod routing_logic;
 mod submission;
 
@@ -126,7 +127,7 @@
             nodes: NodePool::new(limits.clone(), memory.clone()),
             routing_logic: RefCell::new(routing_logic),
             inputs: RefCell::new(vec![Input::Woken]),
-            queries: RefCell::new(QueryTable::new(memory.clone())),
+            queries: RefCell::new(QueryTable::new(memory.clone(), &limits.requests)),
             attempts: RefCell::default(),
             ids: RefCell::new(IdRegistry::new(zones)),
             epoch: RefCell::new(epoch),
--- a/crates/broker/src/engine/open_query.rs
+++ b/crates/broker/src/engine/open_query.rs
@@ -4,7 +4,7 @@
 use crate::config_epoch::ConfigEpoch;
 use crate::memory_budget::Reservation;
 use bytes::Bytes;
-use routing::{QueryId, ShardId, ShardRequestId, Timestamp};
+use routing::{AttemptOutcome, QueryId, ShardId, ShardRequestId, Timestamp};
 use std::rc::Rc;
 use tokio::sync::oneshot;
 
@@ -18,6 +18,8 @@
     pub(super) objective_at: Timestamp,
     /// Whether an attempt of the query could not connect to its node, or lost the connection.
     pub(super) has_lost_node: bool,
+    /// Whether a node may have executed an attempt of the query that has ended.
+    pub(super) may_have_executed: bool,
     /// The time at which the client stops waiting.
     pub(super) deadline: Timestamp,
     /// The ids of the shard requests, in the order of the client's request.
@@ -31,6 +33,12 @@
 }
 
 impl OpenQuery {
+    /// Records the outcome of an attempt.
+    pub(super) fn record_outcome(&mut self, outcome: AttemptOutcome) {
+        self.has_lost_node |= is_lost_node(outcome);
+        self.may_have_executed |= outcome.may_have_executed();
+    }
+
     /// Counts the outcome in the epoch under which the query was accepted, and sends it to the front end.
     pub(super) fn finish(self, outcome: QueryOutcome, now: Timestamp) {
         self.count_outcome(&outcome, now);
@@ -55,6 +63,11 @@
     }
 }
 
+/// Returns whether the connection to the node could not be established or was lost.
+fn is_lost_node(outcome: AttemptOutcome) -> bool {
+    matches!(outcome, AttemptOutcome::ConnectFailed | AttemptOutcome::ConnectionLost)
+}
+
 /// A shard request of an open query.
 pub(super) struct OpenShardRequest {
     pub(super) query: QueryId,
--- a/crates/broker/src/engine/query_table.rs
+++ b/crates/broker/src/engine/query_table.rs
@@ -1,13 +1,15 @@
 //! The table of open queries and their shard requests, with limits on their number and memory.
 
 use super::open_query::{OpenQuery, OpenShardRequest, StoredResponse};
+use super::retained_ids::RetainedIds;
 use super::{QueryOutcome, QueryRequest, ShardResponse, SubmitError};
 use crate::config_epoch::ConfigEpoch;
 use crate::json_length::json_string_length;
+use crate::limits::{RequestLimits, to_time_span};
 use crate::memory_budget::{MemoryBudget, Reservation};
 use crate::node_pool::{AttemptId, ReceivedValue};
 use bytes::Bytes;
-use routing::{AttemptNumber, QueryId, ShardId, ShardRequestId, Timestamp};
+use routing::{AttemptNumber, AttemptOutcome, QueryId, ShardId, ShardRequestId, TimeSpan, Timestamp};
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use tokio::sync::oneshot;
@@ -56,6 +58,10 @@
     shard_requests: HashMap<ShardRequestId, OpenShardRequest>,
     /// The wire ids of the open queries.
     wire_ids: HashSet<Bytes>,
+    /// The wire ids of ended queries that may not be used again yet.
+    retained_ids: RetainedIds,
+    /// The time for which a wire id is retained after its query's deadline.
+    id_retention: TimeSpan,
     /// The id that was assigned last. Queries and shard requests share one sequence.
     last_id: u64,
     /// The number of open shard requests without a response.
@@ -68,11 +74,13 @@
 
 impl QueryTable {
     /// Creates an empty table, whose queries and responses reserve their bytes in `memory`.
-    pub(super) fn new(memory: Rc<MemoryBudget>) -> QueryTable {
+    pub(super) fn new(memory: Rc<MemoryBudget>, limits: &RequestLimits) -> QueryTable {
         QueryTable {
             queries: HashMap::new(),
             shard_requests: HashMap::new(),
             wire_ids: HashSet::new(),
+            retained_ids: RetainedIds::new(limits.max_retained_ids, &memory),
+            id_retention: to_time_span(limits.id_retention),
             last_id: 0,
             unanswered_shard_requests: 0,
             memory,
@@ -106,14 +114,15 @@
     ///
     /// # Errors
     ///
-    /// Returns [`SubmitError::DuplicateId`] if a query with the same wire id is open.
+    /// Returns [`SubmitError::DuplicateId`] if a query with the same wire id is open, or its id is retained.
     pub(super) fn open(
         &mut self,
         request: &QueryRequest,
         epoch: Rc<ConfigEpoch>,
         times: QueryTimes,
+        now: Timestamp,
     ) -> Result<OpenedQuery, SubmitError> {
-        if !self.wire_ids.insert(request.id.clone()) {
+        if self.retained_ids.contains(&request.id, now) || !self.wire_ids.insert(request.id.clone()) {
             return Err(SubmitError::DuplicateId);
         }
         let memory = self.memory.reserve(held_bytes(request));
@@ -125,6 +134,7 @@
             epoch,
             objective_at: times.objective_at,
             has_lost_node: false,
+            may_have_executed: false,
             deadline: times.deadline,
             shard_requests: shard_requests.clone(),
             text: request.text.clone(),
@@ -179,6 +189,11 @@
         Some(RemovedQuery { query, attempts, responses, responses_memory })
     }
 
+    /// Retains the wire id of a removed query, so that no other query can be opened under it.
+    pub(super) fn retain_id(&mut self, query: &OpenQuery, now: Timestamp) {
+        self.retained_ids.insert(&query.wire_id, query.deadline.max(now) + self.id_retention);
+    }
+
     /// Returns whether the query of a shard request is still open.
     pub(super) fn is_open(&self, shard_request: ShardRequestId) -> bool {
         self.shard_requests.contains_key(&shard_request)
@@ -204,11 +219,11 @@
         })
     }
 
-    /// Records that an attempt of a shard request could not connect to its node, or lost the connection.
-    pub(super) fn record_lost_node(&mut self, shard_request: ShardRequestId) {
+    /// Records the outcome of an attempt of a shard request in its query, if that is open.
+    pub(super) fn record_outcome(&mut self, shard_request: ShardRequestId, outcome: AttemptOutcome) {
         let query = self.shard_requests.get(&shard_request).map(|shard_request| shard_request.query);
         if let Some(query) = query.and_then(|id| self.queries.get_mut(&id)) {
-            query.has_lost_node = true;
+            query.record_outcome(outcome);
         }
     }
 
--- a/crates/broker/src/engine/results.rs
+++ b/crates/broker/src/engine/results.rs
@@ -25,9 +25,7 @@
         let mut queries = self.queries.borrow_mut();
         let is_stored = ended.value.is_none_or(|response| queries.store_response(shard_request, response));
         let outcome = if is_stored { ended.outcome } else { AttemptOutcome::Errored };
-        if is_lost_node(outcome) {
-            queries.record_lost_node(shard_request);
-        }
+        queries.record_outcome(shard_request, outcome);
         let duration = self.clock.to_timestamp(ended.at) - in_flight.sent_at;
         Some(AttemptResult { shard_request, attempt, node: in_flight.node, outcome, duration })
     }
@@ -41,8 +39,3 @@
         }
     }
 }
-
-/// Returns whether the connection to the node could not be established or was lost.
-fn is_lost_node(outcome: AttemptOutcome) -> bool {
-    matches!(outcome, AttemptOutcome::ConnectFailed | AttemptOutcome::ConnectionLost)
-}
--- a/crates/broker/src/engine/submission.rs
+++ b/crates/broker/src/engine/submission.rs
@@ -11,7 +11,8 @@
     /// # Errors
     ///
     /// Returns [`SubmitError::Overloaded`] if a limit on open queries, shard requests or memory is reached or the
-    /// broker is shutting down, and [`SubmitError::DuplicateId`] if a query with the same id is open.
+    /// broker is shutting down, and [`SubmitError::DuplicateId`] if a query with the same id is open, or ended
+    /// without a response and may have been executed.
     pub fn submit(self: &Rc<Self>, request: QueryRequest) -> Result<AcceptedQuery, SubmitError> {
         let epoch = self.epoch();
         let mut queries = self.queries.borrow_mut();
@@ -22,9 +23,10 @@
             });
             return Err(SubmitError::Overloaded);
         }
-        let objective_at = self.clock.now() + epoch.latency_objective(request.class, request.work);
+        let now = self.clock.now();
+        let objective_at = now + epoch.latency_objective(request.class, request.work);
         let times = QueryTimes { objective_at, deadline: self.clock.to_timestamp(request.deadline) };
-        let opened = queries.open(&request, epoch, times)?;
+        let opened = queries.open(&request, epoch, times, now)?;
         self.push_query_inputs(&request, &opened);
         Ok(AcceptedQuery { engine: self.clone(), id: opened.id, outcome: opened.outcome })
     }
@@ -64,11 +66,21 @@
 
     /// Closes a query whose client has disconnected. Has no effect if the query has already ended.
     pub(super) fn abandon(&self, id: QueryId) {
-        if self.close(id).is_some() {
+        if let Some(removed) = self.close(id) {
+            self.retain_id_if_executed(&removed);
             self.push_input(Input::ClientLeft(id));
         }
     }
 
+    /// Retains the wire id of a query that ended without a response and that a node may have executed or may execute
+    /// yet.
+    pub(super) fn retain_id_if_executed(&self, removed: &RemovedQuery) {
+        let RemovedQuery { query, attempts, .. } = removed;
+        if query.may_have_executed || attempts.iter().any(|attempt| self.nodes.may_be_executed(*attempt)) {
+            self.queries.borrow_mut().retain_id(query, self.clock.now());
+        }
+    }
+
     /// Fails all open queries and rejects further ones, because the process is about to exit.
     ///
     /// Returns the number of queries that were open.
--- a/crates/broker/src/limits/mod.rs
+++ b/crates/broker/src/limits/mod.rs
@@ -67,6 +67,11 @@
 /// Microseconds in a tenth of a millisecond, the unit of [`TimeSpan`].
 const MICROS_PER_TENTH: u64 = 100;
 
+/// Converts a duration to a time span of the routing logic, rounded down to tenths of a millisecond.
+pub fn to_time_span(duration: Duration) -> TimeSpan {
+    TimeSpan((duration.as_micros() / u128::from(MICROS_PER_TENTH)) as i64)
+}
+
 /// Converts a time span of the routing logic, in tenths of a millisecond, to a [`Duration`]. Negative spans become
 /// zero.
 pub fn to_duration(span: TimeSpan) -> Duration {
--- a/crates/broker/src/limits/node_limits.rs
+++ b/crates/broker/src/limits/node_limits.rs
@@ -27,6 +27,8 @@
 const PARTIAL_FRAME_WAITS_PER_CONNECT_TIMEOUT: u32 = 4;
 /// The number of cancelled shard requests that are remembered for each one that may be in flight.
 const REMEMBERED_CANCELLATIONS_PER_IN_FLIGHT: usize = 8;
+/// The number of answered shard requests that are remembered. A second copy of a response comes right behind it.
+const MAX_REMEMBERED_RESPONSES: usize = 128;
 /// Limits how long a node that does not read blocks a connection.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -52,8 +54,11 @@
     /// The time without input after a written batch, after which a connection gets no further shard requests.
     pub unresponsive_after: Duration,
     /// The number of cancelled shard requests that are remembered for each connection, to distinguish late responses
-    /// from responses with an unknown id.
+    /// from responses with an unknown id. A connection with more of them is given up.
     pub max_remembered_cancellations: usize,
+    /// The number of answered shard requests that are remembered for each connection, whose ids are not used on it
+    /// again.
+    pub max_remembered_responses: usize,
     /// The time after its turn within which an attempt must be written completely. After that the attempt is
     /// cancelled or its connection is closed.
     pub attempt_write_timeout: TimeSpan,
@@ -83,6 +88,7 @@
             unresponsive_after: connect_timeout,
             max_remembered_cancellations: REMEMBERED_CANCELLATIONS_PER_IN_FLIGHT
                 * max_connection_shard_requests,
+            max_remembered_responses: MAX_REMEMBERED_RESPONSES,
             attempt_write_timeout: connect_timeout_span + broker_config.period,
             idle_timeout: idle_timeout(connections),
             write_timeout: WRITE_TIMEOUT,
--- a/crates/broker/src/limits/request_limits.rs
+++ b/crates/broker/src/limits/request_limits.rs
@@ -18,6 +18,12 @@
 /// Limits the time for which a client can keep a query open.
 const MAX_CLIENT_WAIT: Duration = Duration::from_secs(600);
 
+/// The time for which an id is retained after the deadline of its query. A node that was paused may execute a shard
+/// request some time after it was cancelled.
+const ID_RETENTION: Duration = Duration::from_secs(60);
+/// Limits the memory of retained ids.
+const MAX_RETAINED_IDS: usize = 8192;
+
 /// Limits of requests and responses.
 #[derive(Clone, Debug)]
 pub struct RequestLimits {
@@ -31,6 +37,10 @@
     pub max_response_bytes: usize,
     /// The maximum length of a query's id.
     pub max_query_id_bytes: usize,
+    /// The time after its deadline for which the id of a query without a response can't be used again.
+    pub id_retention: Duration,
+    /// The maximum number of ids that are retained.
+    pub max_retained_ids: usize,
     /// The maximum difference between 1 and the sum of a query's weights.
     pub weight_sum_tolerance: f64,
     /// The maximum time that a query may run. Longer times stated by clients are reduced to it.
@@ -45,6 +55,8 @@
             max_chunked_body_bytes: MAX_CHUNKED_BODY_BYTES,
             max_response_bytes: MAX_RESPONSE_BYTES,
             max_query_id_bytes: MAX_QUERY_ID_BYTES,
+            id_retention: ID_RETENTION,
+            max_retained_ids: MAX_RETAINED_IDS,
             weight_sum_tolerance: WEIGHT_SUM_TOLERANCE,
             max_client_wait: MAX_CLIENT_WAIT,
         }
--- a/crates/broker/src/memory_budget.rs
+++ b/crates/broker/src/memory_budget.rs
@@ -65,6 +65,12 @@
         self.bytes += std::mem::take(&mut other.bytes);
     }
 
+    /// Moves all bytes into a new reservation.
+    pub fn take(&mut self) -> Reservation {
+        let bytes = std::mem::take(&mut self.bytes);
+        Reservation { budget: self.budget.clone(), bytes }
+    }
+
     /// Sets the number of bytes without a check.
     pub fn resize(&mut self, bytes: usize) {
         let held_by_others = self.budget.held_bytes.get() - self.bytes;
--- a/crates/broker/src/node_pool/cancellation.rs
+++ b/crates/broker/src/node_pool/cancellation.rs
@@ -24,7 +24,7 @@
         if cancelled.is_some_and(|request| request.progress == WriteProgress::Partial) {
             connection.abort.notify_one();
         }
-        connection.record_cancelled(wire_id, self.limits.nodes.max_remembered_cancellations);
+        connection.record_cancelled(&wire_id, self.limits.nodes.max_remembered_cancellations);
         connection.mark_used_now();
         self.complete_attempt(attempt, outcome, None);
     }
--- a/crates/broker/src/node_pool/connection.rs
+++ b/crates/broker/src/node_pool/connection.rs
@@ -1,8 +1,8 @@
 //! The state of one connection to a node.
 
 use super::attempt::{AttemptId, ReceivedValue};
-use super::cancelled_requests::CancelledRequests;
 use super::connection_state::ConnectionState;
+use super::wire_id_history::WireIdHistory;
 use crate::codec::OutboundFrame;
 use bytes::Bytes;
 use routing::{AttemptOutcome, NodeId};
@@ -56,8 +56,8 @@
     write_queue: RefCell<VecDeque<OutboundFrame>>,
     /// The response whose length is confirmed by the frame that follows it.
     unconfirmed_response: RefCell<Option<UnconfirmedResponse>>,
-    /// Cancelled shard requests that may still be answered.
-    cancelled_requests: RefCell<CancelledRequests>,
+    /// The ids of shard requests that are no longer in flight and may still be answered.
+    wire_id_history: RefCell<WireIdHistory>,
     /// The number of load probes that have not been answered.
     pending_probes: Cell<usize>,
     /// The time of the last activity, from which the idle time-out counts.
@@ -82,7 +82,7 @@
             in_flight: RefCell::default(),
             write_queue: RefCell::default(),
             unconfirmed_response: RefCell::default(),
-            cancelled_requests: RefCell::default(),
+            wire_id_history: RefCell::default(),
             pending_probes: Cell::default(),
             last_used_at: Cell::new(Instant::now()),
             lacks_local_resources: Cell::default(),
@@ -184,10 +184,18 @@
         self.in_flight.borrow().get(wire_id).map(|request| request.progress)
     }
 
-    /// Registers an unwritten attempt, and returns the one that was in flight under the same id.
-    pub fn register(&self, wire_id: Bytes, attempt: AttemptId) -> Option<InFlightRequest> {
+    /// Returns whether any of these ids is in flight on the connection or has been. A response to the earlier shard
+    /// request would then be taken for one to the new one.
+    pub fn has_carried_any(&self, wire_ids: &[Bytes]) -> bool {
+        let (in_flight, history) = (self.in_flight.borrow(), self.wire_id_history.borrow());
+        wire_ids.iter().any(|wire_id| in_flight.contains_key(wire_id) || history.contains(wire_id))
+    }
+
+    /// Registers an unwritten attempt under an id that the connection has not carried.
+    pub fn register(&self, wire_id: Bytes, attempt: AttemptId) {
         let request = InFlightRequest { attempt, progress: WriteProgress::Unwritten };
-        self.in_flight.borrow_mut().insert(wire_id, request)
+        let earlier = self.in_flight.borrow_mut().insert(wire_id, request);
+        debug_assert!(earlier.is_none(), "two attempts under one id on a connection");
     }
 
     /// Removes a shard request from those in flight, and returns it.
@@ -195,6 +203,13 @@
         self.in_flight.borrow_mut().remove(wire_id)
     }
 
+    /// Removes the shard request that a response answers, and returns it.
+    pub fn remove_answered(&self, wire_id: &Bytes, max_remembered: usize) -> Option<InFlightRequest> {
+        let request = self.remove(wire_id)?;
+        self.wire_id_history.borrow_mut().add_answered(wire_id, max_remembered);
+        Some(request)
+    }
+
     /// Removes all shard requests in flight, in the order of their attempts.
     pub fn remove_all(&self) -> Vec<InFlightRequest> {
         let mut requests: Vec<InFlightRequest> = self.in_flight.take().into_values().collect();
@@ -281,15 +296,17 @@
         self.unconfirmed_response.take()
     }
 
-    /// Records a cancelled shard request that may still be answered; the oldest is evicted if there are more than
-    /// `limit`.
-    pub fn record_cancelled(&self, wire_id: Bytes, limit: usize) {
-        self.cancelled_requests.borrow_mut().add(wire_id, limit);
+    /// Records a cancelled shard request that may still be answered. With more than `limit` of them the oldest is
+    /// evicted, and the connection accepts no more work.
+    pub fn record_cancelled(&self, wire_id: &Bytes, limit: usize) {
+        if !self.wire_id_history.borrow_mut().add_cancelled(wire_id, limit) {
+            self.close();
+        }
     }
 
-    /// Returns whether a response with this id may answer a cancelled shard request, and removes the id.
-    pub fn take_cancelled(&self, wire_id: &Bytes) -> bool {
-        self.cancelled_requests.borrow_mut().take(wire_id)
+    /// Returns whether a response with this id may answer a cancelled shard request, and records it as answered.
+    pub fn answer_cancelled(&self, wire_id: &Bytes, max_remembered: usize) -> bool {
+        self.wire_id_history.borrow_mut().answer_cancelled(wire_id, max_remembered)
     }
 
     /// Returns whether any load probe has not been answered.
--- a/crates/broker/src/node_pool/connection_choice.rs
+++ b/crates/broker/src/node_pool/connection_choice.rs
@@ -3,6 +3,7 @@
 use super::NodePool;
 use super::connection::NodeConnection;
 use super::connection_task::ConnectionTask;
+use bytes::Bytes;
 use routing::NodeId;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,20 +17,22 @@
         }
     }
 
-    /// Returns a connection to the node with room for this number of shard requests, or opens one. At the limit on
-    /// connections, the connection that has been idle the longest is closed to make room. Returns `None` if the
-    /// node's address is unknown, or if no connection is idle at the limit and the node has none that accepts work.
+    /// Returns a connection to the node with room for these shard requests that has carried none of their ids, or opens
+    /// one. At the limit on connections, the connection that has been idle the longest is closed to make room. Returns
+    /// `None` if the node's address is unknown, or if no connection is idle at the limit and none to the node may be
+    /// used.
     pub(super) fn connection_for(
         self: &Rc<Self>,
         node: NodeId,
-        shard_requests: usize,
+        wire_ids: &[Bytes],
     ) -> Option<Rc<NodeConnection>> {
         let address = *self.addresses.borrow().get(&node)?;
         self.close_unresponsive(node);
-        let open = self.open_connections(node, address);
+        let mut open = self.open_connections(node, address);
+        open.retain(|connection| !connection.has_carried_any(wire_ids));
         let limit = self.limits.nodes.max_connection_shard_requests;
         // The oldest is preferred, so that connections that are not needed become idle.
-        if let Some(connection) = open.iter().find(|connection| connection.has_room(shard_requests, limit)) {
+        if let Some(connection) = open.iter().find(|connection| connection.has_room(wire_ids.len(), limit)) {
             return Some(connection.clone());
         }
         if self.count_connections() >= self.limits.nodes.max_connections && !self.close_longest_idle() {
--- a/crates/broker/src/node_pool/mod.rs
+++ b/crates/broker/src/node_pool/mod.rs
@@ -33,6 +33,13 @@
 //! - `Complete`: the node may execute the attempt. A cancellation is sent to the node, and a late response is
 //!   recognised.
 //!
+//! # Exactly one owner for each response
+//!
+//! A response names a shard request only by an id, which retries, hedges and later queries may share, and it may come
+//! late or twice. An id is therefore written on a connection at most once: `NodePool::connection_for` passes over the
+//! connections that carry the id or, by their `WireIdHistory`, have carried it. A connection that can't remember
+//! another unanswered id accepts no more work.
+//!
 //! # Cancellation of the tasks
 //!
 //! The writer and the reader are dropped together with the socket when either returns, or on `abort`. Dropping them
@@ -42,13 +49,13 @@
 
 mod attempt;
 mod cancellation;
-mod cancelled_requests;
 mod connection;
 mod connection_choice;
 mod connection_state;
 mod connection_task;
 mod reader;
 mod sending;
+mod wire_id_history;
 mod writer;
 
 pub use attempt::{AttemptId, AttemptToSend, CompletedAttempt, ProbeReply, ReceivedValue};
@@ -142,6 +149,15 @@
         self.attempts.borrow().len()
     }
 
+    /// Returns whether a node may execute an attempt, or may have executed it according to an outcome that has not been
+    /// taken yet.
+    pub fn may_be_executed(&self, attempt: AttemptId) -> bool {
+        let completed = self.completed_attempts.borrow();
+        let is_result = |result: &&CompletedAttempt| result.attempt == attempt;
+        self.attempts.borrow().contains_key(&attempt)
+            || completed.iter().find(is_result).is_some_and(|result| result.outcome.may_have_executed())
+    }
+
     /// Takes the attempts that completed since the last call, in order of completion.
     pub fn take_completed_attempts(&self) -> Vec<CompletedAttempt> {
         self.completed_attempts.take()
--- a/crates/broker/src/node_pool/reader.rs
+++ b/crates/broker/src/node_pool/reader.rs
@@ -138,7 +138,10 @@
         outcome: AttemptOutcome,
         value: ReceivedValue,
     ) -> ControlFlow<DisconnectReason> {
-        let Some(request) = self.connection.remove(&id) else { return self.on_unknown_response(&id) };
+        let max_remembered = self.pool.limits.nodes.max_remembered_responses;
+        let Some(request) = self.connection.remove_answered(&id, max_remembered) else {
+            return self.on_unknown_response(&id);
+        };
         self.connection.write_ready.notify_one();
         let is_too_long = contains_frame_start(&value.bytes, self.pool.limits.nodes.max_frame_bytes);
         let is_last = !self.has_unread_bytes(&value);
@@ -165,7 +168,7 @@
     /// Handles a response to a shard request that is not in flight.
     fn on_unknown_response(&self, id: &Bytes) -> ControlFlow<DisconnectReason> {
         // A cancelled shard request may still be answered.
-        if self.connection.take_cancelled(id) {
+        if self.connection.answer_cancelled(id, self.pool.limits.nodes.max_remembered_responses) {
             return Continue(());
         }
         // A response with a wrong id leaves the intended shard request waiting until it times out. Closing the
--- a/crates/broker/src/node_pool/sending.rs
+++ b/crates/broker/src/node_pool/sending.rs
@@ -13,7 +13,8 @@
     /// Sends shard requests to a node in one batch. Each attempt is reported exactly once, by
     /// [`NodePool::take_completed_attempts`].
     pub fn send(self: &Rc<Self>, node: NodeId, batch: Vec<AttemptToSend>) {
-        let Some(connection) = self.connection_for(node, batch.len()) else {
+        let wire_ids: Vec<Bytes> = batch.iter().map(|sending| sending.shard_request.id.clone()).collect();
+        let Some(connection) = self.connection_for(node, &wire_ids) else {
             return self.fail_unconnected(batch);
         };
         let mut shard_requests = Vec::with_capacity(batch.len());
@@ -34,16 +35,9 @@
         self.results_ready.notify_one();
     }
 
-    /// Registers an attempt on a connection. If the same shard request is already in flight there, a response that is
-    /// received from now on counts for the newer attempt.
+    /// Registers an attempt on a connection that [`NodePool::connection_for`] has chosen for it.
     fn register(&self, connection: &Rc<NodeConnection>, attempt: AttemptId, wire_id: Bytes) {
-        if let Some(earlier) = connection.attempt_of(&wire_id) {
-            self.cancel_unwritten(earlier, AttemptOutcome::ConnectFailed);
-        }
-        if let Some(earlier) = connection.register(wire_id.clone(), attempt) {
-            connection.record_cancelled(wire_id.clone(), self.limits.nodes.max_remembered_cancellations);
-            self.complete_attempt(earlier.attempt, AttemptOutcome::ConnectionLost, None);
-        }
+        connection.register(wire_id.clone(), attempt);
         let route = AttemptRoute { connection: connection.clone(), wire_id };
         self.attempts.borrow_mut().insert(attempt, route);
     }
@@ -51,7 +45,7 @@
     /// Sends a load probe to a node. Each probe is reported exactly once, without a report if its connection ends
     /// first.
     pub fn probe(self: &Rc<Self>, node: NodeId) {
-        let Some(connection) = self.connection_for(node, 0) else { return self.complete_probe(node, None) };
+        let Some(connection) = self.connection_for(node, &[]) else { return self.complete_probe(node, None) };
         connection.add_pending_probe();
         connection.enqueue(OutboundFrame::Probe);
     }
--- a/crates/broker/src/query_handler/request_error.rs
+++ b/crates/broker/src/query_handler/request_error.rs
@@ -65,7 +65,7 @@
     /// A weight is not between 0 and 1, or the weights do not add up to 1.
     #[error("weights that do not make a whole")]
     InvalidWeights,
-    /// Another query with the same id is open.
+    /// Another query with the same id is open, or ended without a response and may have been executed.
     #[error("an id that is open already")]
     IdInUse,
 }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod queries;
 mod races;
 mod response_lengths;
+mod response_owners;
 mod shutdown;
 mod soak;
 mod system_faults;
--- a/crates/routing/src/policy/outcome.rs
+++ b/crates/routing/src/policy/outcome.rs
@@ -58,6 +58,11 @@
         self != AttemptOutcome::Cancelled && self.meaning().execution != Execution::Unsent
     }
 
+    /// Returns whether a node may have executed the attempt.
+    pub fn may_have_executed(self) -> bool {
+        self.meaning().execution == Execution::MaybeExecuted
+    }
+
     /// Returns whether the outcome counts as overload in the pressure.
     pub fn is_overload(self) -> bool {
         self.meaning().is_overload
