routing: the delay after an unanswered list request fits into the age of the list

Cause: a list request counts as unanswered after 3 s, and the delay after it was up to 3.6 s, with no request in between. Each kept to the 6 s, the sum did not.

Change: the routing logic is told for how long the failed request was pending, and limits the delay so that both and 1 s for the next response fit into the maximum age, with the greatest jitter.

Tests: endpoint_watch::tests and sockets::discovery_outages.

--- a/crates/broker/src/discovery.rs
+++ b/crates/broker/src/discovery.rs
@@ -34,6 +34,7 @@
 use list_requests::ListRequests;
 use routing::EndpointListKind;
 use routing::discovery_backoff::RetrySchedule;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -57,7 +58,8 @@
     mut discovery: watch::Receiver<SocketAddr>,
 ) {
     let client = legacy::Client::builder(TokioExecutor::new()).build(DiscoveryConnector);
-    let watcher = EndpointWatcher { engine, limits, client };
+    let pending_since = Cell::new(Instant::now());
+    let watcher = EndpointWatcher { engine, limits, client, pending_since };
     loop {
         tokio::select! {
             () = watcher.engine.watch_requested.notified() => {}
@@ -72,6 +74,8 @@
     engine: Rc<Engine>,
     limits: DiscoveryLimits,
     client: HttpClient,
+    /// The time at which the newest list request or the pending request of the watch was sent.
+    pending_since: Cell<Instant>,
 }
 
 impl EndpointWatcher {
@@ -101,7 +105,7 @@
     fn report_failure(&self) {
         // A notification from before this failure requested the watch that failed, and must not start the next one.
         let _ = self.engine.watch_requested.notified().now_or_never();
-        self.engine.endpoint_list_failed();
+        self.engine.endpoint_list_failed(self.pending_since.get());
     }
 
     /// Requests the complete list and then waits for changes, until a request fails.
@@ -116,6 +120,7 @@
             let revision = list.revision;
             let kind = if list.is_complete { EndpointListKind::Snapshot } else { EndpointListKind::Delta };
             self.engine.update_endpoints(kind, list);
+            self.pending_since.set(Instant::now());
             let url = format!("{list_url}?after={revision}&wait_ms={wait_ms}");
             list = self.request(&url, self.limits.watch_wait + self.limits.watch_slack).await?;
         }
@@ -129,6 +134,7 @@
             let time_limit =
                 if has_long_timeout { self.limits.long_list_timeout } else { self.limits.list_timeout };
             requests.push(self.request(url, time_limit), has_long_timeout);
+            self.pending_since.set(Instant::now());
             let answered = match self.limits.retry_schedule() {
                 RetrySchedule::FixedInterval(interval) => timeout(interval, requests.answered()).await.ok(),
                 RetrySchedule::RoutingBackoff { silence_timeout } => {
--- a/crates/broker/src/engine/endpoints.rs
+++ b/crates/broker/src/engine/endpoints.rs
@@ -6,15 +6,17 @@
 use super::Engine;
 use super::id_registry::IdRegistry;
 use crate::endpoint_list::{ListedNode, NodeList};
+use crate::limits::to_time_span;
 use routing::{
     Endpoint, EndpointList, EndpointListKind, EndpointState, Input, PlacementGroupId, WallClockTime,
 };
+use tokio::time::Instant;
 
 impl Engine {
-    /// Reports to the routing logic that a request for the endpoint list, or the watch on it, has failed. The last
-    /// list stays in use.
-    pub fn endpoint_list_failed(&self) {
-        self.push_input(Input::EndpointListFailed);
+    /// Reports to the routing logic that a request for the endpoint list that was sent at `sent_at`, or the watch that
+    /// delivered data then, has failed. The last list stays in use.
+    pub fn endpoint_list_failed(&self, sent_at: Instant) {
+        self.push_input(Input::EndpointListFailed { pending: to_time_span(sent_at.elapsed()) });
     }
 
     /// Applies an endpoint list, which has all nodes or, with [`EndpointListKind::Delta`], only those that changed.
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -7,6 +7,7 @@
 mod corrupt_frames;
 mod deadlines;
 mod discovery;
+mod discovery_outages;
 mod discovery_races;
 mod fleet_sizes;
 mod interrupted_calls;
--- a/crates/routing/src/broker/endpoints.rs
+++ b/crates/routing/src/broker/endpoints.rs
@@ -3,8 +3,10 @@
 use super::Broker;
 use crate::effects::Effect;
 use crate::inputs::EndpointList;
-use crate::policy::{endpoint_watch, slow_start};
+use crate::policy::endpoint_watch::{self, FailedRequest};
+use crate::policy::slow_start;
 use crate::state::Timer;
+use crate::time::TimeSpan;
 
 impl Broker {
     /// Applies an endpoint list to the node table.
@@ -28,10 +30,10 @@
     }
 
     /// Records a failed request for the list and schedules the next one after a backoff.
-    pub(super) fn endpoint_list_failed(&mut self) {
+    pub(super) fn endpoint_list_failed(&mut self, pending: TimeSpan) {
         let max_age = self.config.broker.rules.endpoint_list_max_age;
-        let failures = self.state.endpoint_list.failures;
-        let delay = endpoint_watch::delay_after_failure(max_age, failures, self.rng.f64());
+        let failed = FailedRequest { earlier_failures: self.state.endpoint_list.failures, pending };
+        let delay = endpoint_watch::delay_after_failure(max_age, failed, self.rng.f64());
         self.state.endpoint_list.record_failure();
         self.state.timers.cancel_all(Timer::WatchEndpoints);
         self.state.timers.schedule(self.state.now + delay, Timer::WatchEndpoints);
--- a/crates/routing/src/broker/mod.rs
+++ b/crates/routing/src/broker/mod.rs
@@ -94,7 +94,7 @@
     fn handle(&mut self, input: &Input) {
         match input {
             Input::EndpointList(list) => self.apply_endpoint_list(list),
-            Input::EndpointListFailed => self.endpoint_list_failed(),
+            Input::EndpointListFailed { pending } => self.endpoint_list_failed(*pending),
             Input::Config(config) => self.reconfigure((**config).clone()),
             Input::Query(query) => self.accept(query),
             Input::ShardRequest(shard_request) => self.accept_shard_request(shard_request),
--- a/crates/routing/src/inputs.rs
+++ b/crates/routing/src/inputs.rs
@@ -15,7 +15,11 @@
     /// An endpoint list has arrived from discovery.
     EndpointList(EndpointList),
     /// A request for the endpoint list failed, or its watch ended. The last list stays in use.
-    EndpointListFailed,
+    EndpointListFailed {
+        /// The time since the failed request was sent, or since the failed watch last delivered data. Zero if it is
+        /// not known.
+        pending: TimeSpan,
+    },
     /// The configuration has changed. It applies to queries that are accepted from now on; open queries keep
     /// theirs. The period, the zone and `send_lag` must equal those of the initial configuration.
     Config(Box<BrokerConfig>),
--- a/crates/routing/tests/scenarios/events.rs
+++ b/crates/routing/tests/scenarios/events.rs
@@ -16,7 +16,9 @@
     pub fn receive(&mut self, words: &Words) {
         self.effects.clear();
         match words[0] {
-            "endpoints" if words[1] == "failed" => self.inputs.push(Input::EndpointListFailed),
+            "endpoints" if words[1] == "failed" => {
+                self.inputs.push(Input::EndpointListFailed { pending: routing::TimeSpan::ZERO });
+            }
             "endpoints" => self.receive_endpoints(words),
             "query" => self.receive_query(words),
             "second-phase" => self.receive_shard_requests(QueryId(id(words[1])), words),
--- a/crates/simulator-adapter/src/broker_host.rs
+++ b/crates/simulator-adapter/src/broker_host.rs
@@ -2,8 +2,8 @@
 
 use crate::wire::{Batch, BatchEvent, Reply};
 use routing::{
-    Broker, Endpoint, EndpointList, EndpointListKind, Input, LoadMetric, NodeId, ProbeResult, Timestamp,
-    WallClockTime,
+    Broker, Endpoint, EndpointList, EndpointListKind, Input, LoadMetric, NodeId, ProbeResult, TimeSpan,
+    Timestamp, WallClockTime,
 };
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -114,7 +114,8 @@
             0 => EndpointListKind::Delta,
             1 => EndpointListKind::Snapshot,
             2 => EndpointListKind::Cached,
-            3 => return Ok(Input::EndpointListFailed),
+            // The simulator does not tell for how long the request was pending.
+            3 => return Ok(Input::EndpointListFailed { pending: TimeSpan::ZERO }),
             other => return Err(BatchError::UnknownListKind(other)),
         };
         let entries = self.endpoint_lists.get(&number).ok_or(BatchError::MissingList(number))?.clone();
