broker: list requests at an earlier address of discovery go on until the new one answers

Cause: each reload dropped the pending list request and began anew at the new address, so that no list was received while reloads followed each other faster than answers. Evidence: the record of the case has one call at each address, and the answer to it found that the broker had left.

Change: pending requests survive a change of the address until the current address answers.

--- a/crates/broker/src/discovery/list_requests.rs
+++ b/crates/broker/src/discovery/list_requests.rs
@@ -10,31 +10,45 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::FuturesUnordered;
 use std::future::{Future, pending};
+use std::net::SocketAddr;
 use tracing::warn;
 
 /// The outcome of one finished request.
 enum RequestOutcome {
     /// The request was answered with a list.
-    Answered(NodeList),
+    Answered(AnsweredRequest),
     /// The newest request failed.
     NewestFailed,
     /// A request other than the newest one failed.
     OlderFailed,
 }
 
+/// A list that was received.
+pub(super) struct AnsweredRequest {
+    /// The list.
+    pub(super) list: NodeList,
+    /// Whether the current address of discovery sent the list.
+    pub(super) is_from_current_address: bool,
+}
+
 /// A finished request.
 struct FinishedRequest {
     /// The request's number in the order of sending; the first is 1.
     number: usize,
+    /// The address to which the request was sent.
+    address: Option<SocketAddr>,
     /// Whether the request had the long time limit.
     has_long_timeout: bool,
     result: Result<NodeList, DiscoveryError>,
 }
 
-/// The pending requests. At most one of them has the long time limit, which is much longer than that of the others.
+/// The pending requests. At most one of those to the current address has the long time limit, which is much longer
+/// than that of the others.
 #[derive(Default)]
 pub(super) struct ListRequests<'a> {
     waiting: FuturesUnordered<LocalBoxFuture<'a, FinishedRequest>>,
+    /// The current address, to which the next requests are sent; `None` before the first.
+    address: Option<SocketAddr>,
     /// The number of the newest request.
     newest: usize,
     /// Whether the request with the long time limit is pending.
@@ -49,7 +63,14 @@
         self.is_long_request_pending
     }
 
-    /// Adds a request, which becomes the newest one.
+    /// Sets the address to which the next requests are sent. Those that are pending at another address continue.
+    pub(super) fn set_address(&mut self, address: SocketAddr) {
+        if self.address.replace(address) != Some(address) {
+            self.is_long_request_pending = false;
+        }
+    }
+
+    /// Adds a request to the current address, which becomes the newest one.
     pub(super) fn push(
         &mut self,
         request: impl Future<Output = Result<NodeList, DiscoveryError>> + 'a,
@@ -57,17 +78,21 @@
     ) {
         self.newest += 1;
         self.is_long_request_pending |= has_long_timeout;
-        let number = self.newest;
-        let finished = async move { FinishedRequest { number, has_long_timeout, result: request.await } };
+        let (number, address) = (self.newest, self.address);
+        let finished =
+            async move { FinishedRequest { number, address, has_long_timeout, result: request.await } };
         self.waiting.push(Box::pin(finished));
     }
 
     /// Waits for the next request to finish; never completes if none is pending.
     async fn next(&mut self) -> RequestOutcome {
         let Some(finished) = self.waiting.next().await else { return pending().await };
-        self.is_long_request_pending &= !finished.has_long_timeout;
+        let is_from_current_address = finished.address == self.address;
+        self.is_long_request_pending &= !(finished.has_long_timeout && is_from_current_address);
         match finished.result {
-            Ok(list) => return RequestOutcome::Answered(list),
+            Ok(list) => {
+                return RequestOutcome::Answered(AnsweredRequest { list, is_from_current_address });
+            }
             Err(error) => self.log_first_failure(&error),
         }
         match finished.number == self.newest {
@@ -84,10 +109,10 @@
     }
 
     /// Waits for a list. Returns `None` as soon as the newest request fails.
-    pub(super) async fn answered_unless_newest_fails(&mut self) -> Option<NodeList> {
+    pub(super) async fn answered_unless_newest_fails(&mut self) -> Option<AnsweredRequest> {
         loop {
             match self.next().await {
-                RequestOutcome::Answered(list) => return Some(list),
+                RequestOutcome::Answered(answered) => return Some(answered),
                 RequestOutcome::NewestFailed => return None,
                 RequestOutcome::OlderFailed => {}
             }
@@ -95,10 +120,10 @@
     }
 
     /// Waits for a list, regardless of how many requests fail.
-    pub(super) async fn answered(&mut self) -> NodeList {
+    pub(super) async fn answered(&mut self) -> AnsweredRequest {
         loop {
-            if let RequestOutcome::Answered(list) = self.next().await {
-                return list;
+            if let RequestOutcome::Answered(answered) = self.next().await {
+                return answered;
             }
         }
     }
