broker: a close behind much unread input is noticed in time

Cause: the close is received only behind the unread bytes. The broker looked for them every 33 ms and read 256 KiB each time; for requests that were answered sooner it did not look.

Change: the first look is at once, excess input is read at 1 MiB every 10 ms, and its end counts as the close. A query whose client sends more than that for 50 ms is failed (502). The receive buffer is set, so that shorter input fits into it with the close behind it.

Tests: sockets::departed_clients.

--- a/crates/broker/src/http_server/mod.rs
+++ b/crates/broker/src/http_server/mod.rs
@@ -40,6 +40,7 @@
 use actix_service::{Service, ServiceFactory, fn_service};
 use connection::Connection;
 use lingering::LingeringConnections;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -48,6 +49,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::Instant;
+use tracing::debug;
 use watched_stream::WatchedStream;
 
 /// The input of the HTTP library's service: a client's socket, without its address.
@@ -94,6 +96,11 @@
 
     /// Accepts connections until `close` is called, and then accepts those that are already in the listener's queue.
     pub async fn run(self: Rc<Self>, listener: TcpListener) {
+        // Connections inherit the size.
+        let receive_buffer_bytes = self.query_handler.limits.clients.receive_buffer_bytes;
+        if let Err(error) = SockRef::from(&listener).set_recv_buffer_size(receive_buffer_bytes) {
+            debug!(%error, "failed to set the receive buffer of client connections");
+        }
         let Ok(service) = self.clone().service_factory().new_service(()).await else { return };
         let service = Rc::new(service);
         let waiting = self.accept_until_close(&listener, &service).await;
--- a/crates/broker/src/http_server/watched_stream.rs
+++ b/crates/broker/src/http_server/watched_stream.rs
@@ -4,15 +4,16 @@
 use super::connection::Connection;
 use crate::io_errors::poll_retrying_interrupted;
 use crate::socket_peek::{has_at_least_unread, is_read_closed};
+use actix_http::StatusCode;
 use std::cell::RefCell;
 use std::future::Future;
-use std::io;
+use std::io::{self, ErrorKind};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::{Sleep, sleep};
+use tokio::time::{Instant, Sleep, sleep};
 
 /// The buffer for input that is dropped.
 const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
@@ -25,12 +26,31 @@
     read_since_decoded: usize,
     /// The timer of the next check for a close behind unread bytes.
     next_close_check: Option<Pin<Box<Sleep>>>,
+    /// The time since which excess input has been discarded without reaching its end.
+    discarding_since: Option<Instant>,
+}
+
+/// The input behind a request, after an attempt to discard its excess.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ExcessInput {
+    /// The client has closed the connection, and everything before the close was read.
+    Ended,
+    /// No excess input is left.
+    Discarded,
+    /// More input may be unread, and a close behind it.
+    Remaining,
 }
 
 impl WatchedStream {
     /// Wraps the socket of a connection.
     pub fn new(stream: Rc<RefCell<TcpStream>>, connection: Rc<Connection>) -> WatchedStream {
-        WatchedStream { stream, connection, read_since_decoded: 0, next_close_check: None }
+        WatchedStream {
+            stream,
+            connection,
+            read_since_decoded: 0,
+            next_close_check: None,
+            discarding_since: None,
+        }
     }
 
     /// Returns the connection in which reads and writes are recorded.
@@ -49,35 +69,62 @@
         self.poll_close_behind_unread_bytes(context)
     }
 
-    /// Checks for a close at intervals: with bytes unread before the close, no readiness event reports it.
+    /// Checks for a close at once and then at intervals: with bytes unread before the close, no readiness event reports
+    /// it.
     fn poll_close_behind_unread_bytes(&mut self, context: &mut Context) -> Poll<io::Result<()>> {
         while !is_read_closed(&self.stream.borrow()) {
-            let interval = self.connection.limits.clients.close_poll_interval;
-            let check = self.next_close_check.get_or_insert_with(|| Box::pin(sleep(interval)));
-            ready!(check.as_mut().poll(context));
-            self.next_close_check = None;
-            self.discard_excess_input();
+            if let Some(check) = &mut self.next_close_check {
+                ready!(check.as_mut().poll(context));
+            }
+            let interval = match self.discard_excess_input() {
+                ExcessInput::Ended => return Poll::Ready(Ok(())),
+                ExcessInput::Discarded => self.connection.limits.clients.close_poll_interval,
+                ExcessInput::Remaining => self.connection.limits.clients.discard_interval,
+            };
+            self.next_close_check = Some(Box::pin(sleep(interval)));
         }
         Poll::Ready(Ok(()))
     }
 
-    /// Reads and drops input, up to a limit at each check, if more is unread than a request may have. Otherwise the
-    /// system's receive buffer would fill up, and the close behind it would not be received. The connection then
-    /// closes with the response to the current request.
-    fn discard_excess_input(&self) {
-        let (stream, limits) = (self.stream.borrow(), &self.connection.limits);
-        if has_at_least_unread(&stream, limits.requests.max_body_bytes) {
-            self.connection.close_after_response.set(true);
-            let mut dropped = [0; DISCARD_BUFFER_BYTES];
-            let mut left = limits.clients.max_linger_bytes;
-            while let Ok(count @ 1..) = stream.try_read(&mut dropped) {
-                left = left.saturating_sub(count);
-                if left == 0 {
-                    break;
-                }
+    /// Reads and drops input, if more is unread than a request may have. Otherwise the system's receive buffer would
+    /// fill up, and the close behind it would not be received. The connection then closes with the response to the
+    /// current request. If the input does not end in time, the request is failed: whether its client is still there
+    /// is not known.
+    fn discard_excess_input(&mut self) -> ExcessInput {
+        let limits = self.connection.limits.clone();
+        if self.discarding_since.is_none()
+            && !has_at_least_unread(&self.stream.borrow(), limits.requests.max_body_bytes)
+        {
+            return ExcessInput::Discarded;
+        }
+        self.connection.close_after_response.set(true);
+        let excess = discard_input(&self.stream.borrow(), limits.clients.max_discarded_bytes);
+        let since = *self.discarding_since.get_or_insert_with(Instant::now);
+        match excess {
+            ExcessInput::Discarded => self.discarding_since = None,
+            ExcessInput::Remaining if since.elapsed() >= limits.clients.max_discard_time => {
+                self.connection.request_close(Some(StatusCode::BAD_GATEWAY));
             }
+            ExcessInput::Remaining | ExcessInput::Ended => {}
+        }
+        excess
+    }
+}
+
+/// Reads and drops up to `max_bytes`.
+fn discard_input(stream: &TcpStream, max_bytes: usize) -> ExcessInput {
+    let mut dropped = [0; DISCARD_BUFFER_BYTES];
+    let mut left = max_bytes;
+    while left > 0 {
+        match stream.try_read(&mut dropped) {
+            Ok(0) => return ExcessInput::Ended,
+            Ok(count) => left = left.saturating_sub(count),
+            Err(error) if error.kind() == ErrorKind::Interrupted => {}
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return ExcessInput::Discarded,
+            Err(_) => return ExcessInput::Ended,
         }
     }
+    ExcessInput::Remaining
 }
 
 impl WatchedStream {
@@ -89,6 +136,7 @@
         if self.connection.is_body_complete() {
             return self.poll_close(context);
         }
+        self.next_close_check = None;
         if !self.connection.may_read_more(context) {
             return Poll::Pending;
         }
--- a/crates/broker/src/limits/client_limits.rs
+++ b/crates/broker/src/limits/client_limits.rs
@@ -1,6 +1,6 @@
 //! Limits of client connections.
 
-use super::machine::Capacity;
+use super::machine::{Capacity, KIB};
 use super::memory::{self, ReadSizes};
 use super::request_limits::MAX_CHUNKED_BODY_BYTES;
 use std::time::Duration;
@@ -39,6 +39,18 @@
 /// for the turns that cancel the query.
 const CLOSE_POLLS_PER_CANCEL_DELAY: u32 = 3;
 
+/// The divisor of [`MAX_CANCEL_DELAY`] that gives the interval at which excess input is discarded.
+const DISCARDS_PER_CANCEL_DELAY: u32 = 10;
+/// The divisor of [`MAX_CANCEL_DELAY`] that gives the time in which the end of excess input must be reached. It leaves
+/// time for the turns that cancel the query.
+const DISCARD_TIMES_PER_CANCEL_DELAY: u32 = 2;
+/// The bytes of excess input that are discarded at once. In the time for it, this is more than the systems of both sides
+/// hold by default.
+const MAX_DISCARDED_BYTES: usize = 1024 * KIB;
+/// Holds the longest excess input that is not discarded, also in small segments, each of which takes several times its
+/// length. A close behind such input is then received.
+const RECEIVE_BUFFER_BYTES: usize = 512 * KIB;
+
 /// Limits of client connections.
 #[derive(Clone, Debug)]
 pub struct ClientLimits {
@@ -82,6 +94,15 @@
     pub accept_retry_interval: Duration,
     /// The interval between checks for a closed connection whose end of file is hidden behind unread bytes.
     pub close_poll_interval: Duration,
+    /// The interval at which excess input behind a request is discarded.
+    pub discard_interval: Duration,
+    /// The time within which the end of excess input must be reached. A query whose client sends more is failed, as a
+    /// close behind the input would be noticed too late.
+    pub max_discard_time: Duration,
+    /// The number of bytes of excess input that are discarded at once.
+    pub max_discarded_bytes: usize,
+    /// The size of the system's receive buffer.
+    pub receive_buffer_bytes: usize,
 }
 
 impl ClientLimits {
@@ -113,6 +134,10 @@
             closing_sweep_interval: CLOSING_SWEEP_INTERVAL,
             accept_retry_interval: ACCEPT_RETRY_INTERVAL,
             close_poll_interval: MAX_CANCEL_DELAY / CLOSE_POLLS_PER_CANCEL_DELAY,
+            discard_interval: MAX_CANCEL_DELAY / DISCARDS_PER_CANCEL_DELAY,
+            max_discard_time: MAX_CANCEL_DELAY / DISCARD_TIMES_PER_CANCEL_DELAY,
+            max_discarded_bytes: MAX_DISCARDED_BYTES,
+            receive_buffer_bytes: RECEIVE_BUFFER_BYTES,
         }
     }
 }
--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod corrupt_frames;
 mod deadlines;
+mod departed_clients;
 mod discovery;
 mod discovery_outages;
 mod discovery_races;
--- a/crates/broker/tests/sockets/stalled_clients.rs
+++ b/crates/broker/tests/sockets/stalled_clients.rs
@@ -82,10 +82,11 @@
     let (mut reader, mut writer) = stream.into_split();
     let writing = async {
         let _ = writer.write_all(stall.start(&id).as_bytes()).await;
-        while matches!(stall, Stall::SlowBody) {
+        let mut slow_byte: &[u8] = if matches!(stall, Stall::SlowBody) { b" " } else { b"" };
+        while !slow_byte.is_empty() {
             sleep_ms(30).await;
-            if writer.write_all(b" ").await.is_err() {
-                break;
+            if writer.write_all(slow_byte).await.is_err() {
+                slow_byte = b"";
             }
         }
         std::future::pending::<()>().await;
@@ -102,13 +103,20 @@
     answered_after
 }
 
-/// Sends a query on a new connection. Returns its status, and the time at which it was sent and answered.
-async fn query(address: SocketAddr, id: &str, time_left: Duration) -> (Option<u16>, Instant, Instant) {
+/// The answer to a usual request.
+struct Answer {
+    status: Option<u16>,
+    sent: Instant,
+    answered: Instant,
+}
+
+/// Sends a query on a new connection.
+async fn query(address: SocketAddr, id: &str, time_left: Duration) -> Answer {
     let mut client = Client::connect(address).await;
     let sent = Instant::now();
     client.write(&query_request(id, "lookup", time_left.as_millis() as u64, &body(TWO_SHARDS))).await;
     let status = client.reply().await.map(|reply| reply.status);
-    (status, sent, Instant::now())
+    Answer { status, sent, answered: Instant::now() }
 }
 
 fn seeds() -> Range<u64> {
@@ -160,21 +168,34 @@
     let time_left = Duration::from_millis(rng.u64(600..1500));
     let ids: Vec<String> = (0..USUAL_CLIENTS).map(|client| format!("usual{client}")).collect();
     let answers = join_all(ids.iter().map(|id| query(address, id, time_left))).await;
+    let served = check_answers(seed, &ids, &answers, time_left, &received.borrow());
+    for bad_client in bad_clients {
+        let answered_after = bad_client.await.unwrap();
+        assert!(answered_after < BAD_CLIENT_TIME, "seed {seed}: a bad client waited {answered_after:?}");
+    }
+    served
+}
+
+/// Checks that each usual request was answered in time, and that nodes were not told too much time for it. Returns how
+/// many were served.
+fn check_answers(
+    seed: u64,
+    ids: &[String],
+    answers: &[Answer],
+    time_left: Duration,
+    received: &HashMap<String, (Instant, Duration)>,
+) -> usize {
     let mut served = 0;
-    for (id, (status, sent, answered)) in ids.iter().zip(answers) {
+    for (id, Answer { status, sent, answered }) in ids.iter().zip(answers) {
         assert!(matches!(status, Some(200 | 503)), "seed {seed}, {id}: {status:?}");
-        let took = answered - sent;
+        let took = *answered - *sent;
         assert!(took < time_left + LOST_AFTER, "seed {seed}, {id}: {took:?} of {time_left:?}");
-        served += usize::from(status == Some(200));
-        for (shard_request, (at, told)) in received.borrow().iter().filter(|(key, _)| key.starts_with(id)) {
-            let left = time_left.saturating_sub(*at - sent);
+        served += usize::from(*status == Some(200));
+        for (shard_request, (at, told)) in received.iter().filter(|(key, _)| key.starts_with(id)) {
+            let left = time_left.saturating_sub(*at - *sent);
             assert!(*told <= left + TIME_LEFT_SLACK, "seed {seed}, {shard_request}: {told:?} of {left:?}");
         }
     }
-    for bad_client in bad_clients {
-        let answered_after = bad_client.await.unwrap();
-        assert!(answered_after < BAD_CLIENT_TIME, "seed {seed}: a bad client waited {answered_after:?}");
-    }
     served
 }
 
