--- a/crates/broker/tests/sockets/main.rs
+++ b/crates/broker/tests/sockets/main.rs
@@ -11,6 +11,7 @@
 mod discovery_outages;
 mod discovery_races;
 mod fleet_sizes;
+mod hostile_clients;
 mod interrupted_calls;
 mod load_reports;
 mod local_shortage;
--- a/crates/broker/tests/sockets/memory_limit.rs
+++ b/crates/broker/tests/sockets/memory_limit.rs
@@ -100,13 +100,13 @@
 }
 
 /// Samples the memory of a process until it is stopped, and returns the peak in KiB.
-struct PeakMemory {
+pub struct PeakMemory {
     sampler: JoinHandle<()>,
     peak_kib: Rc<Cell<usize>>,
 }
 
 impl PeakMemory {
-    fn sample(process_id: u32) -> PeakMemory {
+    pub fn sample(process_id: u32) -> PeakMemory {
         let peak_kib = Rc::new(Cell::new(0));
         let peak = peak_kib.clone();
         let sampler = spawn_local(async move {
@@ -118,7 +118,7 @@
         PeakMemory { sampler, peak_kib }
     }
 
-    fn stop(self) -> usize {
+    pub fn stop(self) -> usize {
         self.sampler.abort();
         self.peak_kib.get()
     }
