tests: clients that connect at once overflow the listener's queue, known to fail

What callers see: when 147 clients connect at once, 12 of them are connected after 1.03 s; a bad one then has its answer after 3.25 s, where 3 s are allowed, and a usual one loses a second.

Cause: the listener has the library's queue of 128 places (TcpListener::bind in running.rs); the kernel drops what comes beyond, and the client sends it again after a second.

Nothing outside tests changed.

--- a/crates/broker/tests/sockets/stalled_clients.rs
+++ b/crates/broker/tests/sockets/stalled_clients.rs
@@ -176,6 +176,15 @@
     served
 }
 
+/// Guards against clients that are connected a second late, so that bad ones get no answer within 3 s and usual ones lose
+/// the time: 147 clients connect at once, and the listener's queue overflows.
+#[rstest]
+fn clients_that_connect_at_once_are_answered_in_their_time() {
+    run_test(async {
+        play(22).await;
+    });
+}
+
 /// Checks that each usual request was answered in time, and that nodes were not told too much time for it. Returns how
 /// many were served.
 fn check_answers(
